--- /dev/null
+++ b/dispatcher/src/facade.rs
@@ -0,0 +1,262 @@
+//! The decision module in blocking style. Everything here is plain and synchronous: the caller says what
+//! happened, and gets back what is to be done, in the words of the flow. The module's events and actions
+//! don't leave this file, and neither does its clock, the only one that decisions rest on.
+
+use lineroute::{
+    Action, AttemptNo, Balancer, CellId, ClassId, Closed, Event, Key, KindId, Micros, Request, RequestId,
+    SettingsError, TenantId, WorkerEntry, WorkerId, ZoneId,
+};
+pub use lineroute::{ListKind, Outcome, Settings, Stage};
+use rustc_hash::FxHashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A flow, by a number that is never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct FlowId(pub u64);
+
+/// A target, by the number that its name was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct TargetId(pub u32);
+
+/// What a flow asks for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub key: Option<String>,
+    pub slots: f64,
+    pub deadline: Instant,
+}
+
+/// One line of the list of targets.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub target: TargetId,
+    pub zone: u32,
+    pub kind: u32,
+    pub cell: u32,
+    pub stage: Stage,
+    /// Its last start as Unix time in milliseconds; 0: long ago.
+    pub started_ms: u64,
+}
+
+/// What has happened.
+#[derive(Debug)]
+pub enum News {
+    List(ListKind, Vec<Listed>),
+    ListFailed,
+    /// The client has gone, or the flow is over for another reason.
+    Left(FlowId),
+    Begun(FlowId, u32),
+    Progress(FlowId, u32, f64),
+    Ended {
+        flow: FlowId,
+        number: u32,
+        outcome: Outcome,
+        /// The flow has its final answer.
+        over: bool,
+        spent: Duration,
+    },
+    Probed(TargetId, Outcome),
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Decision {
+    /// Start a forward.
+    Forward {
+        flow: FlowId,
+        number: u32,
+        target: TargetId,
+    },
+    /// Hold the flow: nothing can be done for it yet.
+    Wait(FlowId),
+    /// Give the flow a final answer without a result. `retry_after`: trying again is harmless, after that time.
+    FixedResponse {
+        flow: FlowId,
+        retry_after: Option<Duration>,
+    },
+    /// Give up a forward that is out.
+    Cancel {
+        flow: FlowId,
+        number: u32,
+    },
+    Probe(TargetId),
+    /// See that the list is watched.
+    Watch,
+}
+
+/// Wall time at an instant that both are read at once: workers' starts are told as Unix time.
+struct Clock {
+    origin: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    fn at(&self, instant: Instant) -> Micros {
+        self.unix + instant.saturating_duration_since(self.origin).as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.origin + Duration::from_micros(at.saturating_sub(self.unix))
+    }
+}
+
+pub struct Facade {
+    balancer: Balancer,
+    clock: Clock,
+    actions: Vec<Action>,
+    wake: Option<Micros>,
+    /// Forwards made of each open flow. The module numbers them in the order of its sends.
+    forwards: FxHashMap<FlowId, u32>,
+    numbers: FxHashMap<Arc<str>, TargetId>,
+    names: Vec<Arc<str>>,
+}
+
+impl Facade {
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
+        Ok(Facade {
+            balancer: Balancer::new(settings, seed)?,
+            clock: Clock { origin: Instant::now(), unix },
+            actions: Vec::new(),
+            wake: None,
+            forwards: FxHashMap::default(),
+            numbers: FxHashMap::default(),
+            names: Vec::new(),
+        })
+    }
+
+    /// The number of a target by its name, the same for as long as the program runs.
+    pub fn target(&mut self, name: &str) -> TargetId {
+        if let Some(&id) = self.numbers.get(name) {
+            return id;
+        }
+        let (id, name) = (TargetId(self.names.len() as u32), Arc::<str>::from(name));
+        self.names.push(name.clone());
+        self.numbers.insert(name, id);
+        id
+    }
+
+    pub fn name(&self, target: TargetId) -> &str {
+        self.names.get(target.0 as usize).map_or("?", |name| name)
+    }
+
+    /// A new flow: where does it go?
+    pub fn pick(&mut self, flow: FlowId, ask: Ask) -> Vec<Decision> {
+        self.forwards.insert(flow, 0);
+        let request = Request {
+            id: request_id(flow),
+            class: ClassId(ask.class),
+            tenant: ask.tenant.map(TenantId),
+            key: ask.key.map(|k| Key(k.into())),
+            deadline: self.clock.at(ask.deadline),
+            slots: ask.slots,
+        };
+        let mut decisions = self.handle(Event::Request(request));
+        let decided = decisions.iter().any(|d| match d {
+            Decision::Forward { flow: f, .. } | Decision::FixedResponse { flow: f, .. } => *f == flow,
+            _ => false,
+        });
+        if !decided {
+            decisions.push(Decision::Wait(flow));
+        }
+        decisions
+    }
+
+    /// Something has happened: what follows?
+    pub fn report(&mut self, news: News) -> Vec<Decision> {
+        let event = match news {
+            News::List(kind, listed) => Event::Workers(kind, listed.iter().map(entry).collect()),
+            News::ListFailed => Event::ListFailed,
+            News::Left(flow) => Event::Aborted(request_id(flow)),
+            News::Begun(flow, number) => Event::Begun(request_id(flow), AttemptNo(number)),
+            News::Progress(flow, number, share) => {
+                Event::Progress(request_id(flow), AttemptNo(number), share)
+            }
+            News::Ended { flow, number, outcome, over, spent } => Event::Closed(Closed {
+                id: request_id(flow),
+                attempt: AttemptNo(number),
+                outcome,
+                complete: over,
+                spent: spent.as_micros() as Micros,
+                report: None,
+            }),
+            News::Probed(target, outcome) => {
+                Event::Probed { worker: WorkerId(target.0), outcome, report: None }
+            }
+        };
+        self.handle(event)
+    }
+
+    /// Time has passed: is anything due?
+    pub fn tick(&mut self) -> Vec<Decision> {
+        let now = self.clock.at(Instant::now());
+        if self.wake.is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        self.wake = None;
+        self.handle(Event::Timer(0))
+    }
+
+    /// When `tick` has something to do next.
+    pub fn next_tick(&self) -> Option<Instant> {
+        self.wake.map(|at| self.clock.instant(at))
+    }
+
+    /// The flow and its forwards are over: nothing more will be said of it.
+    pub fn forget(&mut self, flow: FlowId) {
+        self.forwards.remove(&flow);
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Decision> {
+        let now = self.clock.at(Instant::now());
+        self.balancer.handle(now, event, &mut self.actions);
+        let mut decisions = Vec::with_capacity(self.actions.len());
+        for action in self.actions.drain(..) {
+            decisions.push(match action {
+                Action::Send { id, worker, .. } => {
+                    let flow = flow_id(&id);
+                    let next = self.forwards.entry(flow).or_default();
+                    let number = *next;
+                    *next += 1;
+                    Decision::Forward { flow, number, target: TargetId(worker.0) }
+                }
+                Action::Refuse { id, stay_away } => Decision::FixedResponse {
+                    flow: flow_id(&id),
+                    retry_after: Some(Duration::from_micros(stay_away)),
+                },
+                Action::Fail(id) => Decision::FixedResponse { flow: flow_id(&id), retry_after: None },
+                Action::Cancel(id, number) => Decision::Cancel { flow: flow_id(&id), number: number.0 },
+                Action::Probe(worker) => Decision::Probe(TargetId(worker.0)),
+                Action::Subscribe => Decision::Watch,
+                Action::Wake(at, _) => {
+                    // An earlier wake stands: the module drops one that comes too soon and is asked again.
+                    self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+                    continue;
+                }
+            });
+        }
+        decisions
+    }
+}
+
+fn request_id(flow: FlowId) -> RequestId {
+    RequestId(flow.0.to_string().into())
+}
+
+fn flow_id(id: &RequestId) -> FlowId {
+    FlowId(id.0.parse().unwrap_or(u64::MAX))
+}
+
+fn entry(listed: &Listed) -> WorkerEntry {
+    WorkerEntry {
+        worker: WorkerId(listed.target.0),
+        zone: ZoneId(listed.zone),
+        kind: KindId(listed.kind),
+        cell: CellId(listed.cell),
+        stage: listed.stage,
+        started: (listed.started_ms > 0).then_some(listed.started_ms * 1000),
+    }
+}
--- /dev/null
+++ b/dispatcher/src/flow.rs
@@ -0,0 +1,532 @@
+//! The core: open flows, from their arrival to their one final answer. It knows no wire. Listeners bring
+//! flows in and take answers out; targets carry forwards and tell how they end. Between the two stands the
+//! facade, which decides.
+//!
+//! Whatever is to be done outside is collected while the core is borrowed and done after the borrow has
+//! ended (`Effect`), so a listener or a target may call back at once.
+
+use crate::facade::{Ask, Decision, Facade, FlowId, Listed, News, Outcome, Stage, TargetId};
+use crate::log::log;
+use bytes::Bytes;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+pub use crate::facade::ListKind;
+
+/// The final answer comes this long before the client gives up, so that it still reaches it.
+const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+/// What the decisions leave unanswered at the deadline is answered as failed this much later.
+const OVERDUE: Duration = Duration::from_millis(10);
+
+/// What is to be done for a client, as it came in.
+#[derive(Debug)]
+pub struct Job {
+    /// The client's name for it, which targets see too.
+    pub reference: String,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    /// What it concerns.
+    pub key: Option<String>,
+    /// By this targets know a repeat.
+    pub idempotency: Option<String>,
+    pub slots: f64,
+    /// What is asked for, where the wire has such a thing.
+    pub path: String,
+    pub body: Bytes,
+}
+
+/// The one final answer of a flow.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// A target's result.
+    Served(Bytes),
+    /// Not done, and trying again is harmless, after that time.
+    Refused(Duration),
+    /// Not done, as far as is known; nothing is promised.
+    Failed,
+}
+
+/// A client's side of one flow.
+pub trait Listener {
+    fn answer(self: Box<Self>, answer: Answer);
+}
+
+/// Names one forward.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    pub flow: FlowId,
+    pub number: u32,
+}
+
+/// One attempt, as a target carries it.
+#[derive(Clone, Debug)]
+pub struct Forward {
+    pub ticket: Ticket,
+    pub target: TargetId,
+    pub name: Rc<str>,
+    pub addr: SocketAddr,
+    /// What the list said of the target when this was decided.
+    pub stage: Stage,
+    pub job: Rc<Job>,
+    /// When the dispatcher stops waiting.
+    pub until: Instant,
+}
+
+/// The workers' side: one implementation for each protocol that workers speak.
+pub trait Target {
+    /// Starts a forward; `Flows::ended` is called for it once at least.
+    fn forward(&self, forward: Forward);
+    /// Gives a forward up; `Flows::ended` is called when that is done.
+    fn cancel(&self, forward: Forward);
+    /// Looks whether the worker lives; `Flows::probed` is called.
+    fn probe(&self, target: TargetId, addr: SocketAddr);
+    /// The worker drains, or has left the list.
+    fn closed(&self, _target: TargetId) {}
+}
+
+struct Flow {
+    job: Rc<Job>,
+    listener: Option<Box<dyn Listener>>,
+    until: Instant,
+    out: Option<Out>,
+}
+
+struct Out {
+    forward: Forward,
+    sent: Instant,
+    cancelling: bool,
+}
+
+#[derive(Clone)]
+struct Known {
+    name: Rc<str>,
+    addr: SocketAddr,
+    stage: Stage,
+}
+
+/// Done after the borrow of the core has ended.
+enum Effect {
+    Answer(Box<dyn Listener>, Answer),
+    Forward(Forward),
+    Cancel(Forward),
+    Probe(TargetId, SocketAddr),
+    Closed(TargetId),
+    Unreachable(Ticket),
+    ProbeFailed(TargetId),
+}
+
+/// How much the core takes on.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub flows: usize,
+    /// Bytes of bodies held in all.
+    pub bytes: usize,
+}
+
+struct Core {
+    facade: Facade,
+    flows: FxHashMap<FlowId, Flow>,
+    references: FxHashSet<String>,
+    deadlines: BTreeSet<(Instant, FlowId)>,
+    targets: FxHashMap<TargetId, Known>,
+    next: u64,
+    bytes: usize,
+    bounds: Bounds,
+}
+
+/// Why a flow was not taken.
+#[derive(Debug, PartialEq)]
+pub enum NotTaken {
+    /// The reference belongs to a flow that is still open.
+    Duplicate,
+    /// The bounds are reached.
+    Full,
+}
+
+/// The core, shared by listeners and targets. All of them run on one thread.
+#[derive(Clone)]
+pub struct Flows {
+    core: Rc<RefCell<Core>>,
+    target: Rc<RefCell<Option<Rc<dyn Target>>>>,
+    timer: Rc<Notify>,
+    watch: Rc<Notify>,
+    settled: Rc<Notify>,
+}
+
+impl Flows {
+    pub fn new(facade: Facade, bounds: Bounds) -> Self {
+        let core = Core {
+            facade,
+            flows: FxHashMap::default(),
+            references: FxHashSet::default(),
+            deadlines: BTreeSet::new(),
+            targets: FxHashMap::default(),
+            next: 0,
+            bytes: 0,
+            bounds,
+        };
+        Flows {
+            core: Rc::new(RefCell::new(core)),
+            target: Rc::default(),
+            timer: Rc::default(),
+            watch: Rc::default(),
+            settled: Rc::default(),
+        }
+    }
+
+    /// Says who carries the forwards.
+    pub fn plug(&self, target: Rc<dyn Target>) {
+        *self.target.borrow_mut() = Some(target);
+    }
+
+    /// Takes a job in. From here on its listener is owed one answer, unless it leaves first.
+    pub fn open(
+        &self,
+        job: Job,
+        budget: Duration,
+        listener: impl FnOnce(FlowId) -> Box<dyn Listener>,
+    ) -> Result<FlowId, NotTaken> {
+        let until = Instant::now() + budget.saturating_sub(ANSWER_MARGIN);
+        let (id, effects) = {
+            let core = &mut *self.core.borrow_mut();
+            let size = job.body.len();
+            if core.flows.len() >= core.bounds.flows || core.bytes + size > core.bounds.bytes {
+                return Err(NotTaken::Full);
+            }
+            if !core.references.insert(job.reference.clone()) {
+                return Err(NotTaken::Duplicate);
+            }
+            core.next += 1;
+            core.bytes += size;
+            let id = FlowId(core.next);
+            let ask = Ask {
+                class: job.class,
+                tenant: job.tenant,
+                key: job.key.clone(),
+                slots: job.slots,
+                deadline: until,
+            };
+            core.deadlines.insert((until, id));
+            let flow = Flow { job: Rc::new(job), listener: Some(listener(id)), until, out: None };
+            core.flows.insert(id, flow);
+            let decisions = core.facade.pick(id, ask);
+            (id, core.effects(decisions, &self.watch))
+        };
+        self.carry_out(effects);
+        Ok(id)
+    }
+
+    /// The client has gone: it is owed nothing more, and its forward is given up. False: no such open flow.
+    pub fn leave(&self, id: FlowId) -> bool {
+        let effects = {
+            let core = &mut *self.core.borrow_mut();
+            let Some(flow) = core.flows.get_mut(&id).filter(|f| f.listener.is_some()) else { return false };
+            flow.listener = None;
+            let decisions = core.facade.report(News::Left(id));
+            let mut effects = core.effects(decisions, &self.watch);
+            effects.extend(core.cancel(id));
+            core.drop_if_over(id);
+            effects
+        };
+        self.carry_out(effects);
+        true
+    }
+
+    /// A target tells that the job has begun.
+    pub fn begun(&self, ticket: Ticket) {
+        self.news(ticket, News::Begun(ticket.flow, ticket.number));
+    }
+
+    /// A target tells how far the job has got.
+    pub fn progress(&self, ticket: Ticket, share: f64) {
+        self.news(ticket, News::Progress(ticket.flow, ticket.number, share));
+    }
+
+    fn news(&self, ticket: Ticket, news: News) {
+        let effects = {
+            let core = &mut *self.core.borrow_mut();
+            if !core.is_out(ticket) {
+                return;
+            }
+            let decisions = core.facade.report(news);
+            core.effects(decisions, &self.watch)
+        };
+        self.carry_out(effects);
+    }
+
+    /// A forward has ended. Said again, or of one that ended otherwise before, it changes nothing.
+    pub fn ended(&self, ticket: Ticket, outcome: Outcome, result: Option<Bytes>) {
+        let effects = {
+            let core = &mut *self.core.borrow_mut();
+            core.ended(ticket, outcome, result, &self.watch)
+        };
+        self.carry_out(effects);
+    }
+
+    /// A probe has ended.
+    pub fn probed(&self, target: TargetId, outcome: Outcome) {
+        self.report(News::Probed(target, outcome));
+    }
+
+    /// The list could not be had, or the watch broke.
+    pub fn list_failed(&self) {
+        self.report(News::ListFailed);
+    }
+
+    fn report(&self, news: News) {
+        let effects = {
+            let core = &mut *self.core.borrow_mut();
+            let decisions = core.facade.report(news);
+            core.effects(decisions, &self.watch)
+        };
+        self.carry_out(effects);
+    }
+
+    /// The number of a target, by its name.
+    pub fn target(&self, name: &str) -> TargetId {
+        self.core.borrow_mut().facade.target(name)
+    }
+
+    /// News of the targets, with their addresses.
+    pub fn list(&self, kind: ListKind, entries: Vec<(Listed, SocketAddr)>) {
+        let effects = {
+            let core = &mut *self.core.borrow_mut();
+            let mut effects = Vec::new();
+            if kind != ListKind::Delta {
+                let named: FxHashSet<TargetId> = entries.iter().map(|e| e.0.target).collect();
+                for (id, known) in core.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                    known.stage = Stage::Gone;
+                    effects.push(Effect::Closed(*id));
+                }
+            }
+            for (listed, addr) in &entries {
+                let name = core.facade.name(listed.target).into();
+                core.targets.insert(listed.target, Known { name, addr: *addr, stage: listed.stage });
+                if listed.stage != Stage::Ready {
+                    effects.push(Effect::Closed(listed.target));
+                }
+            }
+            let listed = entries.into_iter().map(|e| e.0).collect();
+            let decisions = core.facade.report(News::List(kind, listed));
+            effects.extend(core.effects(decisions, &self.watch));
+            effects
+        };
+        self.carry_out(effects);
+    }
+
+    /// Whether the list still says of the target what it said when the forward was decided.
+    pub fn stands(&self, forward: &Forward) -> bool {
+        self.core.borrow().targets.get(&forward.target).is_some_and(|t| t.stage == forward.stage)
+    }
+
+    /// Flows that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.core.borrow().flows.values().filter(|f| f.listener.is_some()).count()
+    }
+
+    /// Resolves when somebody should look at `owed` again.
+    pub async fn settled(&self) {
+        self.settled.notified().await;
+    }
+
+    /// Resolves when the module wants the list watched.
+    pub async fn watch_wanted(&self) {
+        self.watch.notified().await;
+    }
+
+    /// Runs the clock: the module's ticks, and the flows' deadlines. Never ends.
+    pub async fn run_clock(&self) {
+        loop {
+            let due = {
+                let core = self.core.borrow();
+                let deadline = core.deadlines.first().map(|d| d.0);
+                [core.facade.next_tick(), deadline].into_iter().flatten().min()
+            };
+            let due = due.unwrap_or_else(|| Instant::now() + Duration::from_secs(60));
+            tokio::select! {
+                () = tokio::time::sleep_until(due.into()) => self.due(),
+                () = self.timer.notified() => {}
+            }
+        }
+    }
+
+    fn due(&self) {
+        let now = Instant::now();
+        let mut effects = Vec::new();
+        {
+            let core = &mut *self.core.borrow_mut();
+            let decisions = core.facade.tick();
+            effects.extend(core.effects(decisions, &self.watch));
+            while let Some(&(at, id)) = core.deadlines.first().filter(|d| d.0 <= now) {
+                core.deadlines.remove(&(at, id));
+                effects.extend(core.overdue(id, now, &self.watch));
+            }
+        }
+        self.carry_out(effects);
+    }
+
+    fn carry_out(&self, effects: Vec<Effect>) {
+        self.timer.notify_one();
+        if effects.is_empty() {
+            return;
+        }
+        let Some(target) = self.target.borrow().clone() else { return };
+        for effect in effects {
+            match effect {
+                Effect::Answer(listener, answer) => {
+                    listener.answer(answer);
+                    self.settled.notify_one();
+                }
+                Effect::Forward(forward) => target.forward(forward),
+                Effect::Cancel(forward) => target.cancel(forward),
+                Effect::Probe(id, addr) => target.probe(id, addr),
+                Effect::Closed(id) => target.closed(id),
+                Effect::Unreachable(ticket) => self.ended(ticket, Outcome::NoRoute, None),
+                Effect::ProbeFailed(id) => self.probed(id, Outcome::NoRoute),
+            }
+        }
+        self.settled.notify_one();
+    }
+}
+
+impl Core {
+    fn is_out(&self, ticket: Ticket) -> bool {
+        let out = self.flows.get(&ticket.flow).and_then(|f| f.out.as_ref());
+        out.is_some_and(|o| o.forward.ticket == ticket)
+    }
+
+    /// Turns decisions into effects, and keeps the table of flows in step.
+    fn effects(&mut self, decisions: Vec<Decision>, watch: &Notify) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for decision in decisions {
+            match decision {
+                Decision::Forward { flow, number, target } => {
+                    effects.extend(self.forward(Ticket { flow, number }, target));
+                }
+                Decision::Wait(_) => {}
+                Decision::FixedResponse { flow: id, retry_after } => {
+                    let answer = retry_after.map_or(Answer::Failed, Answer::Refused);
+                    if let Some(listener) = self.flows.get_mut(&id).and_then(|f| f.listener.take()) {
+                        effects.push(Effect::Answer(listener, answer));
+                    }
+                    // An attempt that outlives its flow serves nobody.
+                    effects.extend(self.cancel(id));
+                    self.drop_if_over(id);
+                }
+                Decision::Cancel { flow, number } => {
+                    if self.is_out(Ticket { flow, number }) {
+                        effects.extend(self.cancel(flow));
+                    }
+                }
+                Decision::Probe(target) => effects.push(match self.targets.get(&target) {
+                    Some(known) => Effect::Probe(target, known.addr),
+                    None => Effect::ProbeFailed(target),
+                }),
+                Decision::Watch => watch.notify_one(),
+            }
+        }
+        effects
+    }
+
+    fn forward(&mut self, ticket: Ticket, target: TargetId) -> Option<Effect> {
+        let known = self.targets.get(&target).cloned();
+        let flow = self.flows.get_mut(&ticket.flow)?;
+        // Guards the rule that two attempts are never out, whatever was decided.
+        if let Some(out) = &flow.out {
+            log!(
+                "flow {}: forward {} not made, {} is out",
+                ticket.flow.0,
+                ticket.number,
+                out.forward.ticket.number
+            );
+            return None;
+        }
+        let unreachable = known.is_none();
+        let known = known.unwrap_or_else(|| Known {
+            name: "?".into(),
+            addr: ([127, 0, 0, 1], 0).into(),
+            stage: Stage::Gone,
+        });
+        let forward = Forward {
+            ticket,
+            target,
+            name: known.name,
+            addr: known.addr,
+            stage: known.stage,
+            job: flow.job.clone(),
+            until: flow.until,
+        };
+        flow.out = Some(Out { forward: forward.clone(), sent: Instant::now(), cancelling: false });
+        Some(if unreachable { Effect::Unreachable(ticket) } else { Effect::Forward(forward) })
+    }
+
+    fn cancel(&mut self, id: FlowId) -> Option<Effect> {
+        let out = self.flows.get_mut(&id)?.out.as_mut().filter(|o| !o.cancelling)?;
+        out.cancelling = true;
+        Some(Effect::Cancel(out.forward.clone()))
+    }
+
+    fn ended(
+        &mut self,
+        ticket: Ticket,
+        outcome: Outcome,
+        result: Option<Bytes>,
+        watch: &Notify,
+    ) -> Vec<Effect> {
+        if !self.is_out(ticket) {
+            return Vec::new();
+        }
+        let Some(flow) = self.flows.get_mut(&ticket.flow) else { return Vec::new() };
+        let Some(out) = flow.out.take() else { return Vec::new() };
+        let mut effects = Vec::new();
+        if let Some(listener) = flow.listener.take_if(|_| outcome == Outcome::Served) {
+            effects.push(Effect::Answer(listener, Answer::Served(result.unwrap_or_default())));
+        }
+        let over = flow.listener.is_none();
+        let (number, spent) = (ticket.number, out.sent.elapsed());
+        let news = News::Ended { flow: ticket.flow, number, outcome, over, spent };
+        let decisions = self.facade.report(news);
+        effects.extend(self.effects(decisions, watch));
+        self.drop_if_over(ticket.flow);
+        effects
+    }
+
+    /// The deadline of a flow has come: its forward timed out, and then the module answers it. What it left
+    /// unanswered is answered here: the client must not wait for a decision that does not come.
+    fn overdue(&mut self, id: FlowId, now: Instant, watch: &Notify) -> Vec<Effect> {
+        let Some(flow) = self.flows.get(&id) else { return Vec::new() };
+        let mut effects = Vec::new();
+        if let Some(out) = &flow.out {
+            let ticket = out.forward.ticket;
+            effects.extend(self.cancel(id));
+            effects.extend(self.ended(ticket, Outcome::TimedOut, None, watch));
+        }
+        let Some(flow) = self.flows.get_mut(&id) else { return effects };
+        if now < flow.until + OVERDUE {
+            self.deadlines.insert((flow.until + OVERDUE, id));
+        } else if let Some(listener) = flow.listener.take() {
+            log!("flow {}: unanswered at its deadline", id.0);
+            effects.push(Effect::Answer(listener, Answer::Failed));
+            let decisions = self.facade.report(News::Left(id));
+            effects.extend(self.effects(decisions, watch));
+            self.drop_if_over(id);
+        }
+        effects
+    }
+
+    fn drop_if_over(&mut self, id: FlowId) {
+        let over = self.flows.get(&id).is_some_and(|f| f.listener.is_none() && f.out.is_none());
+        if let Some(flow) = over.then(|| self.flows.remove(&id)).flatten() {
+            self.references.remove(&flow.job.reference);
+            self.bytes -= flow.job.body.len();
+            self.deadlines.remove(&(flow.until, id));
+            self.deadlines.remove(&(flow.until + OVERDUE, id));
+            self.facade.forget(id);
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/src/list.rs
@@ -0,0 +1,140 @@
+//! The list of targets: asked for once, then watched, call upon call, for as long as calls succeed. When one
+//! fails the module says when to try again.
+
+use crate::facade::{ListKind, Listed, Stage};
+use crate::flow::Flows;
+use crate::log::log;
+use crate::targets::http::HttpClient;
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a watch may wait for news. What discovery has to tell counts as told some time after that.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// How long an answer may take beyond that: discovery handles calls in turn.
+const ANSWER_WITHIN: Duration = Duration::from_secs(3);
+/// The longest list that is read.
+const MAX_LIST_BYTES: usize = 4 << 20;
+/// The least time between two calls that bring nothing: guards against a discovery that does not wait.
+const LEAST_GAP: Duration = Duration::from_millis(20);
+
+/// A list, as discovery words it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HostList {
+    pub version: u64,
+    pub full: bool,
+    pub servers: Vec<Host>,
+}
+
+/// One worker in a list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    pub id: String,
+    pub addr: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub kind: String,
+    #[serde(default)]
+    pub cell: u32,
+    pub state: State,
+    #[serde(default)]
+    pub started_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    Up,
+    Draining,
+    Removed,
+}
+
+/// The names of zones and kinds, by position.
+#[derive(Clone, Debug)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Names {
+    /// The position of a name. One that the settings don't hold gets a position of its own behind them.
+    fn position(names: &mut Vec<String>, name: &str) -> u32 {
+        let at = names.iter().position(|n| n == name).unwrap_or_else(|| {
+            names.push(name.to_owned());
+            names.len() - 1
+        });
+        at as u32
+    }
+}
+
+/// Hands a list to the core.
+pub fn take(flows: &Flows, names: &mut Names, list: &HostList, kind: ListKind) {
+    // A worker that a list names twice counts as its last entry says.
+    let mut entries: FxHashMap<&str, (Listed, SocketAddr)> = FxHashMap::default();
+    for host in &list.servers {
+        let listed = Listed {
+            target: flows.target(&host.id),
+            zone: Names::position(&mut names.zones, &host.zone),
+            kind: Names::position(&mut names.kinds, &host.kind),
+            cell: host.cell,
+            stage: match host.state {
+                State::Up => Stage::Ready,
+                State::Draining => Stage::Draining,
+                State::Removed => Stage::Gone,
+            },
+            started_ms: host.started_ms,
+        };
+        entries.insert(&host.id, (listed, host.addr));
+    }
+    let mut entries: Vec<_> = entries.into_values().collect();
+    entries.sort_by_key(|e| e.0.target.0);
+    flows.list(kind, entries);
+}
+
+/// Watches discovery. Never ends.
+pub async fn watch(
+    flows: Flows,
+    client: HttpClient,
+    discovery: SocketAddr,
+    mut names: Names,
+    known: Option<u64>,
+) {
+    let mut after = known;
+    loop {
+        flows.watch_wanted().await;
+        // The first call is answered at once, so that the module knows where it stands; the next ones wait.
+        let mut wait = Duration::ZERO;
+        loop {
+            let path = match after {
+                Some(v) => format!("/discovery/hosts?after={v}&wait_ms={}", wait.as_millis()),
+                None => "/discovery/hosts".into(),
+            };
+            let asked = tokio::time::Instant::now();
+            match client.get(discovery, &path, wait + ANSWER_WITHIN, MAX_LIST_BYTES).await {
+                Ok((200, body)) => match serde_json::from_slice::<HostList>(&body) {
+                    Ok(list) => {
+                        after = Some(list.version);
+                        let kind = if list.full { ListKind::Full } else { ListKind::Delta };
+                        take(&flows, &mut names, &list, kind);
+                        if list.servers.is_empty() {
+                            tokio::time::sleep_until(asked + LEAST_GAP).await;
+                        }
+                        wait = WATCH_WAIT;
+                        continue;
+                    }
+                    Err(e) => {
+                        log!("discovery: list not understood: {e}");
+                        // What could not be read is asked for whole.
+                        after = None;
+                    }
+                },
+                Ok((status, _)) => log!("discovery: answered {status}"),
+                Err(e) => log!("discovery: {e}"),
+            }
+            break;
+        }
+        flows.list_failed();
+    }
+}
--- /dev/null
+++ b/dispatcher/src/listeners/http.rs
@@ -0,0 +1,299 @@
+//! The platform's front: jobs by `POST`, each on a connection that waits for its answer; the workers' calls;
+//! and `/up`. Thin: what a header means is settled here, everything else in the core.
+
+use crate::config::Route;
+use crate::facade::FlowId;
+use crate::flow::{Answer, Flows, Job, Listener, NotTaken};
+use crate::log::log;
+use crate::targets::http::{HttpTargets, JobNews};
+use actix_http::header::{self, HeaderMap};
+use actix_http::{
+    ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
+};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, Notify};
+
+/// A body holds so much at most.
+pub const MAX_BODY: usize = 64 << 10;
+/// How long a client may take to send a head, and how long for a body. Links may be poor.
+const HEAD_WITHIN: Duration = Duration::from_secs(15);
+const BODY_WITHIN: Duration = Duration::from_secs(30);
+/// Idle connections of clients are kept so long.
+const KEEP_ALIVE: Duration = Duration::from_secs(120);
+/// How long a client may take to close a connection that is being closed.
+const DISCONNECT_WITHIN: Duration = Duration::from_secs(1);
+/// What a client is told that this dispatcher can't take on: others may have room at once.
+const BUSY_RETRY: Duration = Duration::from_millis(250);
+const LONGEST_ID: usize = 128;
+
+/// A class or tenant as the settings name it, and a class's own deadline.
+pub struct Vocabulary {
+    pub classes: Vec<(String, Duration)>,
+    pub tenants: Vec<String>,
+}
+
+impl Vocabulary {
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|c| c.0 == name)
+    }
+
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|t| t == name)
+    }
+}
+
+/// What the front has come to, between start and exit.
+#[derive(Default)]
+pub struct Phase {
+    /// Answers carry `Connection: close`.
+    closing: Cell<bool>,
+    /// New jobs are refused.
+    shut: Cell<bool>,
+    pub connections: Cell<usize>,
+    idle: Notify,
+}
+
+impl Phase {
+    /// From here on every answer ends its connection.
+    pub fn close(&self) {
+        self.closing.set(true);
+    }
+
+    /// From here on nothing new is taken, and idle connections end.
+    pub fn shut(&self) {
+        self.shut.set(true);
+        self.idle.notify_waiters();
+    }
+
+    async fn until_shut(self: Rc<Self>) {
+        let shut = self.idle.notified();
+        if !self.shut.get() {
+            shut.await;
+        }
+    }
+}
+
+pub struct HttpListener {
+    pub flows: Flows,
+    pub targets: HttpTargets,
+    pub words: Rc<Vocabulary>,
+    pub routes: Vec<Route>,
+    pub phase: Rc<Phase>,
+    /// Connections at a time.
+    pub most: usize,
+}
+
+/// Hands the answer to the task that holds the connection.
+struct Waiting(oneshot::Sender<Answer>);
+
+impl Listener for Waiting {
+    fn answer(self: Box<Self>, answer: Answer) {
+        // A client that has gone in this very moment has been told of by its connection.
+        let _ = self.0.send(answer);
+    }
+}
+
+/// The connection's claim on a flow. When the client goes, the task ends where it waits, and this tells.
+struct Claim {
+    flows: Flows,
+    id: FlowId,
+    answered: bool,
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.flows.leave(self.id);
+        }
+    }
+}
+
+impl HttpListener {
+    /// Accepts and serves connections. Never ends.
+    pub async fn serve(self: Rc<Self>, socket: TcpListener) {
+        let (this, phase) = (self.clone(), self.phase.clone());
+        let service = move |request: Request| {
+            let this = this.clone();
+            async move { Ok::<_, Infallible>(this.handle(request).await) }
+        };
+        let factory = HttpService::<TcpStream, _, _>::build()
+            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+            .client_request_timeout(HEAD_WITHIN)
+            .client_disconnect_timeout(DISCONNECT_WITHIN)
+            // An end of input is a client that has gone: its task is dropped, and its claim tells the core.
+            .h1_allow_half_closed(false)
+            .graceful_shutdown_signal(move || phase.clone().until_shut())
+            .h1(actix_service::fn_service(service).into_factory());
+        let Ok(service) = factory.new_service(()).await else { return };
+        let service = Rc::new(service);
+        loop {
+            let (stream, peer) = match socket.accept().await {
+                Ok(accepted) => accepted,
+                Err(e) => {
+                    // Out of descriptors, say: others may come free.
+                    log!("accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            };
+            let _ = stream.set_nodelay(true);
+            let (service, phase) = (service.clone(), self.phase.clone());
+            phase.connections.set(phase.connections.get() + 1);
+            actix_rt::spawn(async move {
+                // Errors here are those of the peer: it went, or what it sent was no HTTP.
+                let _ = service.call((stream, Some(peer))).await;
+                phase.connections.set(phase.connections.get() - 1);
+            });
+        }
+    }
+
+    async fn handle(&self, request: Request) -> Response<Bytes> {
+        let mut response = self.respond(request).await;
+        if self.phase.closing.get() || self.phase.connections.get() > self.most {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        response
+    }
+
+    async fn respond(&self, mut request: Request) -> Response<Bytes> {
+        let (get, post) = (request.method() == Method::GET, request.method() == Method::POST);
+        let path = request.path().to_owned();
+        match path.as_str() {
+            "/up" if get && !self.phase.closing.get() => plain(StatusCode::OK, "up\n"),
+            "/up" if get => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+            "/_jobs/news" if post => match body(&mut request).await {
+                Err(status) => plain(status, "no body could be read\n"),
+                Ok(body) => match serde_json::from_slice::<JobNews>(&body) {
+                    Err(_) => plain(StatusCode::BAD_REQUEST, "not a worker's call\n"),
+                    Ok(news) => {
+                        self.targets.news(news);
+                        plain(StatusCode::OK, "")
+                    }
+                },
+            },
+            "/up" | "/_jobs/news" => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
+            path => match Route::find(&self.routes, path) {
+                None => plain(StatusCode::NOT_FOUND, "no such path\n"),
+                Some(_) if !post => plain(StatusCode::METHOD_NOT_ALLOWED, "jobs come by POST\n"),
+                Some(route) => self.job(request, route).await,
+            },
+        }
+    }
+
+    async fn job(&self, mut request: Request, route: &Route) -> Response<Bytes> {
+        let (mut job, budget) = match self.read_head(&request, route) {
+            Ok(read) => read,
+            Err(reason) => return plain(StatusCode::BAD_REQUEST, reason),
+        };
+        let arriving = tokio::time::Instant::now();
+        job.body = match body(&mut request).await {
+            Ok(body) => body,
+            Err(status) => return plain(status, "no body could be read\n"),
+        };
+        if self.phase.shut.get() || self.phase.connections.get() > self.most {
+            return refused(BUSY_RETRY);
+        }
+        let budget = budget.saturating_sub(arriving.elapsed());
+        let (sender, answer) = oneshot::channel();
+        let id = match self.flows.open(job, budget, |_| Box::new(Waiting(sender))) {
+            Ok(id) => id,
+            Err(NotTaken::Full) => return refused(BUSY_RETRY),
+            Err(NotTaken::Duplicate) => return plain(StatusCode::CONFLICT, "this id is in work\n"),
+        };
+        let mut claim = Claim { flows: self.flows.clone(), id, answered: false };
+        let answer = answer.await;
+        claim.answered = answer.is_ok();
+        match answer {
+            Ok(Answer::Served(result)) => respond(StatusCode::OK, result, None),
+            Ok(Answer::Refused(after)) => refused(after),
+            Ok(Answer::Failed) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "the job was not done\n"),
+        }
+    }
+
+    fn read_head(&self, request: &Request, route: &Route) -> Result<(Job, Duration), &'static str> {
+        let headers = request.headers();
+        let id = text(headers, "x-call-id")?.ok_or("X-Call-Id is missing\n")?;
+        let plain_id = id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:~".contains(&b));
+        if id.is_empty() || id.len() > LONGEST_ID || !plain_id {
+            return Err("X-Call-Id is not a plain word of 1 to 128 characters\n");
+        }
+        let class = match (route.class, text(headers, "x-call-class")?) {
+            (Some(class), _) => class,
+            (None, Some(name)) => self.words.class(name).ok_or("X-Call-Class is no class\n")?,
+            (None, None) => return Err("X-Call-Class is missing\n"),
+        };
+        let tenant = match text(headers, "x-caller")? {
+            Some(name) => Some(self.words.tenant(name).ok_or("X-Caller is no tenant\n")?),
+            None => None,
+        };
+        let longest = route.budget.unwrap_or(self.words.classes[class].1);
+        let budget = match text(headers, "x-budget-ms")? {
+            Some(ms) => ms.trim().parse().map_err(|_| "X-Budget-Ms is not a whole number\n")?,
+            None => longest.as_millis() as u64,
+        };
+        let info = text(headers, "x-call-info")?.unwrap_or_default();
+        let slots = info.split(',').filter_map(|pair| pair.trim().split_once('='));
+        let slots = slots.filter(|(name, _)| *name == "width").find_map(|(_, v)| v.parse::<f64>().ok());
+        let slots = slots.filter(|s| s.is_finite() && *s > 0.0).unwrap_or(1.0);
+        let owned = |name| Ok::<_, &'static str>(text(headers, name)?.map(str::to_owned));
+        let job = Job {
+            reference: id.to_owned(),
+            class,
+            tenant,
+            key: owned("x-route-hash")?,
+            idempotency: owned("idempotency-key")?,
+            slots,
+            path: request.uri().path_and_query().map_or("/".into(), |p| p.as_str().to_owned()),
+            body: Bytes::new(),
+        };
+        Ok((job, Duration::from_millis(budget).min(longest.max(Duration::from_secs(3600)))))
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, &'static str> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    value.to_str().map(Some).map_err(|_| "a header is not plain text\n")
+}
+
+async fn body(request: &mut Request) -> Result<Bytes, StatusCode> {
+    let mut payload = request.take_payload();
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| StatusCode::BAD_REQUEST)?;
+            if body.len() + chunk.len() > MAX_BODY {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    tokio::time::timeout(BODY_WITHIN, read).await.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+}
+
+fn respond(status: StatusCode, body: Bytes, retry_after: Option<Duration>) -> Response<Bytes> {
+    let mut response = Response::with_body(status, body);
+    if let Some(after) = retry_after {
+        // Seconds, whole or decimal.
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = seconds.parse() {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+fn refused(after: Duration) -> Response<Bytes> {
+    respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not now\n"), Some(after))
+}
+
+fn plain(status: StatusCode, words: &'static str) -> Response<Bytes> {
+    respond(status, Bytes::from_static(words.as_bytes()), None)
+}
--- /dev/null
+++ b/dispatcher/src/listeners/mod.rs
@@ -0,0 +1,3 @@
+//! The clients' side, a module for each protocol that clients speak.
+
+pub mod http;
--- /dev/null
+++ b/dispatcher/src/targets/http.rs
@@ -0,0 +1,296 @@
+//! Workers that speak the platform's HTTP: a job is posted, taken with 202, and its fate comes as calls to
+//! the dispatcher's own address (`HttpTargets::news`). After the 202 a forward lives without a connection.
+
+use crate::facade::{Outcome, TargetId};
+use crate::flow::{Flows, Forward, Target, Ticket};
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::{header, Method};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+
+/// Answers of workers are short: results come as calls.
+const MAX_ANSWER: usize = 64 << 10;
+/// How long a probe may take.
+const PROBE_WITHIN: Duration = Duration::from_millis(200);
+/// How long the answer to giving up a job is waited for, beyond connecting.
+const CANCEL_WITHIN: Duration = Duration::from_millis(150);
+/// Our idle connections end before a worker ends them: a request written to one it has closed is lost.
+const IDLE_PART: f64 = 0.7;
+
+/// Why a call brought no answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// No connection came up: nothing was sent.
+    NoConnection(String),
+    /// No answer in time.
+    Timeout,
+    /// It broke, or what came was no answer: the request may have arrived.
+    Broken(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::NoConnection(e) => write!(f, "no connection: {e}"),
+            CallError::Timeout => write!(f, "no answer in time"),
+            CallError::Broken(e) => write!(f, "broken: {e}"),
+        }
+    }
+}
+
+impl From<SendRequestError> for CallError {
+    fn from(error: SendRequestError) -> Self {
+        match error {
+            // awc says this also of a connection that ended before the head of the answer: it was in use.
+            SendRequestError::Connect(ConnectError::Disconnected) => CallError::Broken("disconnected".into()),
+            SendRequestError::Connect(e) => CallError::NoConnection(e.to_string()),
+            SendRequestError::Timeout => CallError::Timeout,
+            e => CallError::Broken(e.to_string()),
+        }
+    }
+}
+
+/// One pool of connections for all that is called, bounded in calls at a time.
+#[derive(Clone)]
+pub struct HttpClient {
+    client: awc::Client,
+    calls: Rc<Cell<usize>>,
+    most: usize,
+}
+
+struct Call(Rc<Cell<usize>>);
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl HttpClient {
+    pub fn new(connect_within: Duration, keepalive: Duration, most: usize) -> Self {
+        // What awc would do by itself is named here: it gives up after 5 s, and follows redirects, which
+        // would make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
+        let connector = awc::Connector::new()
+            .timeout(connect_within)
+            .handshake_timeout(connect_within)
+            .conn_keep_alive(keepalive.mul_f64(IDLE_PART))
+            .conn_lifetime(Duration::from_secs(24 * 3600))
+            .disconnect_timeout(Duration::from_millis(200))
+            .limit(most + 1);
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        HttpClient { client, calls: Rc::default(), most }
+    }
+
+    pub async fn get(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        within: Duration,
+        limit: usize,
+    ) -> Result<(u16, Bytes), CallError> {
+        let answer = self.call(Method::GET, addr, path, &[], Bytes::new(), within, limit).await?;
+        Ok((answer.status, answer.body))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        within: Duration,
+        limit: usize,
+    ) -> Result<HttpAnswer, CallError> {
+        if self.calls.get() >= self.most {
+            return Err(CallError::NoConnection("too many calls are out".into()));
+        }
+        self.calls.set(self.calls.get() + 1);
+        let _call = Call(self.calls.clone());
+        let has_body = method == Method::POST;
+        let mut request = self.client.request(method, format!("http://{addr}{path}")).no_decompress();
+        for &(name, value) in headers {
+            request = request.insert_header((name, value));
+        }
+        let exchange = async {
+            let mut response = if has_body { request.send_body(body).await? } else { request.send().await? };
+            let rejected = response.headers().get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
+            let mut body = BytesMut::new();
+            // Read to its end, also where nobody wants it: only then is the connection free again.
+            while let Some(chunk) = response.next().await {
+                let chunk = chunk.map_err(|e| CallError::Broken(e.to_string()))?;
+                if body.len() + chunk.len() > limit {
+                    return Err(CallError::Broken("the answer is too long".into()));
+                }
+                body.extend_from_slice(&chunk);
+            }
+            Ok(HttpAnswer { status: response.status().as_u16(), rejected, body: body.freeze() })
+        };
+        tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout))
+    }
+}
+
+struct HttpAnswer {
+    status: u16,
+    rejected: bool,
+    body: Bytes,
+}
+
+/// What a worker tells of a job.
+#[derive(Debug, Deserialize)]
+pub struct JobNews {
+    pub id: String,
+    pub from: String,
+    pub state: String,
+    #[serde(default)]
+    pub share: Option<f64>,
+    #[serde(default)]
+    pub result: Option<serde_json::Value>,
+}
+
+struct Out {
+    ticket: Ticket,
+    worker: Rc<str>,
+    task: Option<JoinHandle<()>>,
+}
+
+/// The forwards that are out at such workers, by the reference of their job.
+#[derive(Clone)]
+pub struct HttpTargets {
+    flows: Flows,
+    client: HttpClient,
+    connect_within: Duration,
+    out: Rc<RefCell<FxHashMap<String, Out>>>,
+}
+
+impl HttpTargets {
+    pub fn new(flows: Flows, client: HttpClient, connect_within: Duration) -> Self {
+        HttpTargets { flows, client, connect_within, out: Rc::default() }
+    }
+
+    /// Takes a worker's call. It may come before the 202, again, or of an attempt that is over: only what
+    /// the worker tells of the attempt that it now has is taken up.
+    pub fn news(&self, news: JobNews) {
+        let ticket = {
+            let out = self.out.borrow();
+            out.get(&news.id).filter(|o| *o.worker == *news.from).map(|o| o.ticket)
+        };
+        let Some(ticket) = ticket else { return };
+        let end = match news.state.as_str() {
+            "started" => return self.flows.begun(ticket),
+            "running" => return self.flows.progress(ticket, news.share.unwrap_or(0.0)),
+            "done" => Outcome::Served,
+            "failed" => Outcome::Fault,
+            "returned" => Outcome::NoRoom,
+            "lost" => Outcome::Cut,
+            _ => return,
+        };
+        let result = news.result.map(|r| match r {
+            serde_json::Value::String(text) => Bytes::from(text),
+            other => Bytes::from(other.to_string()),
+        });
+        self.end(&news.id, ticket, end, result);
+    }
+
+    /// Ends a forward here and in the core, unless it has ended already.
+    fn end(&self, reference: &str, ticket: Ticket, outcome: Outcome, result: Option<Bytes>) {
+        {
+            let mut out = self.out.borrow_mut();
+            if out.get(reference).is_some_and(|o| o.ticket == ticket) {
+                out.remove(reference);
+            }
+        }
+        self.flows.ended(ticket, outcome, result);
+    }
+
+    async fn post(&self, forward: &Forward) {
+        let job = &forward.job;
+        if !self.flows.stands(forward) {
+            // The worker began to drain between the decision and this moment: nothing is sent.
+            return self.end(&job.reference, forward.ticket, Outcome::Moot, None);
+        }
+        let left = forward.until.saturating_duration_since(Instant::now());
+        let budget = left.as_millis().to_string();
+        let mut headers = vec![
+            ("X-Call-Id", job.reference.as_str()),
+            ("X-Budget-Ms", &budget),
+            (header::CONTENT_TYPE.as_str(), "application/octet-stream"),
+        ];
+        if let Some(key) = &job.idempotency {
+            headers.push(("Idempotency-Key", key));
+        }
+        let (addr, body) = (forward.addr, job.body.clone());
+        let answer = self.client.call(Method::POST, addr, &job.path, &headers, body, left, MAX_ANSWER).await;
+        let outcome = match answer {
+            Ok(HttpAnswer { status: 202, .. }) => return,
+            Ok(HttpAnswer { status: 503 | 504, rejected: true, .. }) => Outcome::NoRoom,
+            Ok(_) => Outcome::Fault,
+            Err(CallError::NoConnection(_)) => Outcome::NoRoute,
+            Err(CallError::Broken(_)) => Outcome::Cut,
+            Err(CallError::Timeout) => Outcome::TimedOut,
+        };
+        self.end(&job.reference, forward.ticket, outcome, None);
+    }
+}
+
+impl Target for HttpTargets {
+    fn forward(&self, forward: Forward) {
+        let (this, copy) = (self.clone(), forward.clone());
+        let task = actix_rt::spawn(async move { this.post(&copy).await });
+        let out = Out { ticket: forward.ticket, worker: forward.name, task: Some(task) };
+        self.out.borrow_mut().insert(forward.job.reference.clone(), out);
+    }
+
+    fn cancel(&self, forward: Forward) {
+        let task = {
+            let mut out = self.out.borrow_mut();
+            let own = out.get_mut(&forward.job.reference).filter(|o| o.ticket == forward.ticket);
+            own.and_then(|o| o.task.take())
+        };
+        let this = self.clone();
+        actix_rt::spawn(async move {
+            // Before the 202 it is the end of the connection that gives the job up. Only when that is done and
+            // the worker knows may the next attempt go out: else there were two.
+            if let Some(task) = task {
+                task.abort();
+                let _ = task.await;
+            }
+            let path = format!("/jobs/{}", forward.job.reference);
+            let within = this.connect_within + CANCEL_WITHIN;
+            let _ = this
+                .client
+                .call(Method::DELETE, forward.addr, &path, &[], Bytes::new(), within, MAX_ANSWER)
+                .await;
+            this.end(&forward.job.reference, forward.ticket, Outcome::Cancelled, None);
+        });
+    }
+
+    fn probe(&self, target: TargetId, addr: SocketAddr) {
+        let this = self.clone();
+        actix_rt::spawn(async move {
+            let outcome = match this.client.get(addr, "/alive", PROBE_WITHIN, MAX_ANSWER).await {
+                Ok((200, _)) => Outcome::Served,
+                Ok((503, _)) => Outcome::NoRoom,
+                Ok(_) => Outcome::Fault,
+                Err(CallError::NoConnection(_)) => Outcome::NoRoute,
+                Err(CallError::Broken(_)) => Outcome::Cut,
+                Err(CallError::Timeout) => Outcome::TimedOut,
+            };
+            this.flows.probed(target, outcome);
+        });
+    }
+}
--- a/simhost/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,14 +1,30 @@
 //! The wire's settings object, turned into the module's [`Settings`]. Unknown keys are skipped; absent
 //! ones get the defaults given here.
 
-use basaltyoke::{
+use lineroute::{
     Allowed, Class, Discovery, Effect, Group, KindId, Micros, Prices, ReportSource, Rules, Settings, Tenant,
     ZoneId,
 };
 use serde::Deserialize;
 
+/// The module's settings, and what only a program on sockets needs beside them: names, which the
+/// sockets carry where the simulator's wire has positions, and the limit on connecting.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub settings: Settings,
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub connect_timeout: Micros,
+}
+
 #[derive(Deserialize)]
 struct Raw {
+    #[serde(default)]
+    azs: Vec<String>,
+    #[serde(default)]
+    skus: Vec<String>,
     #[serde(default = "one")]
     instances: u32,
     classes: Vec<RawClass>,
@@ -51,6 +67,8 @@
 
 #[derive(Deserialize)]
 struct RawClass {
+    #[serde(default)]
+    name: Option<String>,
     aim_ms: f64,
     deadline_ms: f64,
     #[serde(default = "unit")]
@@ -72,6 +90,8 @@
 
 #[derive(Deserialize)]
 struct RawTenant {
+    #[serde(default)]
+    name: Option<String>,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -93,6 +113,7 @@
     most_held: usize,
     parallel_tries: bool,
     keepalive_ms: f64,
+    connect_timeout_ms: f64,
 }
 
 impl Default for RawAllowed {
@@ -107,6 +128,7 @@
             most_held: 20_000,
             parallel_tries: false,
             keepalive_ms: 0.0,
+            connect_timeout_ms: 1_000.0,
         }
     }
 }
@@ -159,7 +181,7 @@
 }
 
 /// Reads and checks the settings; an error names the key.
-pub fn parse(text: &str) -> Result<Settings, String> {
+pub fn parse(text: &str) -> Result<Site, String> {
     let mut json = serde_json::Deserializer::from_str(text);
     let raw: Raw = serde_path_to_error::deserialize(&mut json).map_err(|e| {
         let path = e.path().to_string();
@@ -242,5 +264,14 @@
         tail_slack: raw.blend.tail_slack.filter(|_| raw.blend.slow_end > 0.0),
     };
     settings.validate().map_err(|e| e.to_string())?;
-    Ok(settings)
+    let class_names = raw.classes.iter().enumerate().map(|(i, c)| c.name.clone().unwrap_or(i.to_string()));
+    let tenant_names = raw.tenants.iter().enumerate().map(|(i, t)| t.name.clone().unwrap_or(i.to_string()));
+    Ok(Site {
+        classes: class_names.collect(),
+        tenants: tenant_names.collect(),
+        zones: raw.azs,
+        kinds: raw.skus,
+        connect_timeout: micros(raw.allowed.connect_timeout_ms),
+        settings,
+    })
 }
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -1,10 +1,9 @@
 //! The adapter between the simulator's wire and the decision module. It turns lines into events and
 //! actions into lines, keeps the instances apart, and decides nothing.
 
-mod settings;
 mod wire;
 
-use basaltyoke::{
+use lineroute::{
     Action, AttemptNo, Balancer, CellId, ClassId, Closed, Event, Key, KindId, ListKind, Micros, Request,
     RequestId, Stage, TenantId, WorkerEntry, WorkerId, ZoneId,
 };
@@ -72,7 +71,7 @@
             }
             "NEW_INSTANCE" => {
                 let seed = f.int("init_seed")?;
-                let settings = settings::parse(f.remainder("profile_data")?)?;
+                let settings = lineroute_settings::parse(f.remainder("profile_data")?)?.settings;
                 let has_tenants = !settings.tenants.is_empty();
                 let balancer = Balancer::new(settings, seed).map_err(|e| e.to_string())?;
                 let i = self.selected.ok_or("no instance is selected")?;
@@ -282,7 +281,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("basaltyoke-simhost: {message}");
+            eprintln!("lineroute-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! One line of the wire, cut into fields, and the values in them.
 
-use basaltyoke::{Micros, Outcome, Report};
+use lineroute::{Micros, Outcome, Report};
 
 /// The fields of a line, read from left to right.
 pub struct Fields<'a> {
--- a/simhost/tests/pipes.rs
+++ b/simhost/tests/pipes.rs
@@ -9,7 +9,7 @@
  "specifics": {"class_kind": [-1], "class_stretch": [1.5], "progress_ms": 1000.0}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_basaltyoke-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lineroute-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,4 +1,4 @@
-//! All decisions of basaltyoke. The interface (settings, events, actions) is `src/api.rs`;
+//! All decisions of lineroute. The interface (settings, events, actions) is `src/api.rs`;
 //! `src/state.rs` holds the types of the state and their upkeep.
 //! Read in this order: [`Profiles`] (response times, shares, gaps), [`Fleet`] (what is known of each
 //! worker: list, report, warmth, symptoms), [`Admission`] (whom to refuse when capacity is short), and
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! basaltyoke: the decisions of a dispatcher that pushes jobs to workers.
+//! lineroute: the decisions of a dispatcher that pushes jobs to workers.
 //!
 //! The crate holds no sockets, clocks or threads. A host feeds a [`Balancer`] with events and the
 //! time in microseconds, and carries out the [`Action`]s that come back. The same events always
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small host for tests: it keeps timers and counts final answers.
 #![allow(dead_code)]
 
-use basaltyoke::*;
+use lineroute::*;
 use std::collections::BTreeMap;
 
 pub const MS: Micros = 1000;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use basaltyoke::*;
 use common::{entry, request, settings, Host, MS};
+use lineroute::*;
 
 fn sends(actions: &[Action]) -> Vec<(String, u32)> {
     let send = |a: &Action| match a {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
-use basaltyoke::*;
 use common::{entry, request, settings, MS};
+use lineroute::*;
 use std::collections::BTreeMap;
 
 struct Open {
