Call back no job that is merely long; learn from starts how many a worker has room for

Cause: overdue_after() takes 2.5 usual times, and where no copy is allowed rescue() then cancels the only attempt; one exponential job in twelve runs so long, and running work goes on after a cancel here. due_at() did the same to waiting jobs. The test for many instances now says so in its settings.

--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -67,7 +67,8 @@
     }
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let socket = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
-    log!("{} listens at {}", config.name, config.listen);
+    let listen = socket.local_addr().map_err(|e| e.to_string())?;
+    log!("{} listens at {listen}", config.name);
     let clock = flows.clone();
     actix_rt::spawn(async move { clock.run_clock().await });
     let version = known.map(|k| k.version);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -38,6 +38,8 @@
 const TICKS_PER_AIM: Micros = 4;
 /// A job is overdue when nothing came of it for so many usual response times, or 1.25 progress intervals.
 const OVERDUE: f64 = 2.5;
+/// The same where a job must be called back before it can be sent again. Run times have heavy tails.
+const OVERDUE_ALONE: f64 = 10.0;
 /// A job that may be repeated, and waits longer than this part of what it can afford, gets a copy elsewhere.
 const START_PART: Micros = 6;
 /// Reports by probe alone are renewed seldom: one younger than this part of a response time still stands.
@@ -52,6 +54,10 @@
 const LITTLE: usize = 4;
 /// So many reports in a row without the job that was sent there a tick before are no chance.
 const MISSED: u32 = 2;
+/// By how much the own jobs that a worker is held to have room for fall when one waited, and rise when one
+/// more began at once.
+const ROOM_FALL: f64 = 0.5;
+const ROOM_RISE: f64 = 0.25;
 /// Reports stay set aside for so many usual response times after the last one caught late.
 const LATE_FOR: f64 = 4.0;
 
@@ -138,10 +144,20 @@
         let free = |free: f64| if late { self.slots } else { free - self.waiting.round() };
         let left = self.free.map(|f| free(f).min(self.slots - self.out_slots));
         // Without reports: a job that has not begun waits for a slot.
-        let waits = self.free.is_none() && self.awaited > 0;
+        let waits = self.free.is_none() && (self.awaited > 0 || f64::from(self.out) >= self.room);
         !waits && !self.refused(slots, now) && left.is_none_or(|left| left + 0.25 >= slots)
     }
 
+    /// An own job has begun there, at once or after a wait: how many of ours find room beside the others'?
+    fn learn_room(&mut self, waited: bool) {
+        let running = f64::from(self.out - self.awaited.min(self.out));
+        if waited {
+            self.room = (self.room.min(running) - ROOM_FALL).max(ROOM_FALL);
+        } else if running + 1.0 > self.room {
+            self.room += ROOM_RISE;
+        }
+    }
+
     fn refused(&self, slots: f64, now: Micros) -> bool {
         self.full.is_some_and(|(size, until)| slots >= size && now < until)
     }
@@ -491,13 +507,16 @@
         let (age, mut rng) = (self.fresh_for(class), self.rng.fork());
         let usable = |w: Ix, trust: bool| {
             let worker = &self.fleet.workers[w];
-            let told = late || worker.fresh(now, age) || worker.refused(slots, now);
+            let learnt = self.admission.blind && job.looks + 1 < LOOKS;
+            let told = late || learnt || worker.fresh(now, age) || worker.refused(slots, now);
             (worker.available(slots, now, late) || !told)
                 && (!trust || self.fleet.trusted(w, &job.request, now))
                 && !job.seen.contains(&w)
                 && self.may_send(job, w)
         };
-        let few = (t.out as usize) < ready.len() && !late;
+        // Fewer instances than workers, and no reports: they can't all meet, and own jobs are what is known.
+        let alone = self.admission.blind && (self.settings.instances as usize) < ready.len();
+        let few = (t.out as usize) < ready.len() && !late && !alone;
         let look = if few && self.admission.blind { 1 } else { LOOK };
         // Suspicion never empties the fleet: with nobody trusted, all are candidates of the last look.
         let ignore = job.seen.is_empty() && job.looks + 1 >= LOOKS;
@@ -522,9 +541,11 @@
                 break;
             }
             drawn.clear();
-            let mut best: Vec<((f32, f32), Ix)> = Vec::with_capacity(look + 1);
+            let mut best: Vec<((f32, f32, f32), Ix)> = Vec::with_capacity(look + 1);
             for &w in ready.iter().filter(|&&w| near(w)) {
-                let key = if few { (-rng.f32().ln() / t.get(w).inverse, 0.0) } else { t.gap(w) };
+                let (gap, share) = t.gap(w);
+                let tie = rng.f32();
+                let key = if few { (-tie.ln() / t.get(w).inverse, 0.0, 0.0) } else { (gap, share, tie) };
                 if (best.len() < look || key < best[look - 1].0) && usable(w, *trust) {
                     let at = best.partition_point(|b| b.0 <= key);
                     best.insert(at, (key, w));
@@ -699,7 +720,9 @@
     /// How long an attempt may go without a sign. Later ones are given longer: the job may just be long.
     fn overdue_after(&self, id: &RequestId) -> Micros {
         let Some(job) = self.jobs.get(id) else { return Micros::MAX };
-        let usual = self.class_time[job.request.class.0] * OVERDUE * f64::from(job.attempts.max(1));
+        // Guards against calling back a job that is merely long: where it can't have a copy, its work is lost.
+        let patience = if self.settings.allowed.parallel { OVERDUE } else { OVERDUE_ALONE };
+        let usual = self.class_time[job.request.class.0] * patience * f64::from(job.attempts.max(1));
         usual.max(self.settings.progress as f64 * 1.25) as Micros
     }
 
@@ -711,7 +734,8 @@
 
     fn due_at(&self, id: &RequestId, a: &Attempt) -> Micros {
         let (slack, patience) = (self.slack(self.jobs[id].request.class), self.overdue_after(id));
-        a.sign + if a.awaited { patience.min(slack / START_PART) } else { patience }.max(1)
+        let copies = a.awaited && self.settings.allowed.parallel;
+        a.sign + if copies { patience.min(slack / START_PART) } else { patience }.max(1)
     }
 
     /// How long a job waited tells of the worker. A copy that still waits elsewhere is not needed.
@@ -733,6 +757,7 @@
         if waited > slack / START_PART {
             w.full = Some((slots, now + waited));
         }
+        w.learn_room(waited > slack / START_PART);
     }
 
     fn closed(&mut self, end: Closed) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,6 +94,8 @@
     pub out_slots: f64,
     /// Own jobs there that have not begun, where workers tell.
     pub awaited: u32,
+    /// Own jobs that it has room for at once, as learnt from how soon they began. Used where none reports.
+    pub room: f64,
     /// When an own job was last served there, if none was sent since.
     pub left: Micros,
     /// It could not be reached: a probe must pass before a job goes there.
@@ -138,7 +140,7 @@
 impl Worker {
     pub fn new(entry: WorkerEntry, now: Micros) -> Self {
         let since = entry.started.map(|t| t.min(now));
-        Worker { entry, since, slots: 1.0, ..Worker::default() }
+        Worker { entry, since, slots: 1.0, room: 2.0, ..Worker::default() }
     }
 
     /// Part of its capacity that it has at least, from its start and the rules.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -395,6 +395,7 @@
     for seed in 0..400 {
         let mut s = settings();
         s.report = ReportSource::Silent;
+        s.instances = 400;
         let mut host = Host::new(s, seed);
         host.list(0, ListKind::Cached, (0..8).map(|i| entry(i, 0, None)).collect());
         for i in 0..30 {
@@ -879,3 +880,52 @@
     acts.extend(host.advance(5000 * MS));
     assert!(!acts.iter().any(|a| matches!(a, Action::Cancel(..))), "{acts:?}");
 }
+
+/// Without reports, starts told, one attempt at a time; four jobs served in 100 ms each.
+fn alone() -> Host {
+    let mut s = unprobed();
+    (s.report, s.tells_start) = (ReportSource::Silent, true);
+    (s.allowed.parallel, s.allowed.cancel) = (false, true);
+    let mut host = Host::new(s, 1);
+    host.list(0, ListKind::Cached, vec![entry(1, 0, None), entry(2, 0, None)]);
+    for i in 0..4 {
+        let now = i * 200 * MS;
+        host.event(now, Event::Request(request(i, 0, now + 5000 * MS)));
+        begun(&mut host, now + MS, i);
+        host.close(now + 100 * MS, &i.to_string(), 0, Outcome::Served, 100 * MS, None);
+    }
+    host
+}
+
+/// Seen on quote-snap: a twelfth of the jobs run 2.5 times as long as usual. Called back, their work was lost,
+/// and the second attempt was as likely to be long.
+#[test]
+fn a_job_that_is_merely_long_is_not_called_back_where_it_can_have_no_copy() {
+    let mut host = alone();
+    let cancels = |acts: Vec<Action>| acts.iter().filter(|a| matches!(a, Action::Cancel(..))).count();
+    host.event(1000 * MS, Event::Request(request(9, 0, 9000 * MS)));
+    begun(&mut host, 1001 * MS, 9);
+    assert_eq!(cancels(host.advance(2000 * MS)), 0, "ten usual times have not passed");
+    assert_eq!(
+        cancels(host.advance(8000 * MS)),
+        1,
+        "a worker that swallows jobs is not waited for to the end"
+    );
+}
+
+/// Seen on gen1-2c: it was sent more than its two cores run, as its running times alone tell no count.
+#[test]
+fn a_worker_where_own_jobs_waited_is_passed_over_while_another_has_room() {
+    let mut host = alone();
+    let mut out = [0u32; 3];
+    for i in 10..14 {
+        let now = i * 500 * MS;
+        let acts = host.event(now, Event::Request(request(i, 0, 19_000 * MS)));
+        let worker = sends(&acts)[0].1;
+        out[worker as usize] += 1;
+        // Worker 1 starts each job after a long wait, worker 2 at once.
+        let wait = if worker == 1 { 400 * MS } else { MS };
+        host.event(now + wait, Event::Begun(request(i, 0, 0).id, AttemptNo(0)));
+    }
+    assert_eq!(out[1], 1, "it had room for one: {out:?}");
+}
