Test the program as a process; keep taking workers' calls while it stops

Seen: a test that ends the program with a job out found that the worker's call for it was closed unread. Ruled out: the accept loop, which goes on to the end. Now the signal ends only connections that were there before; all answers still close.

--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -72,10 +72,12 @@
         self.idle.notify_waiters();
     }
 
+    /// For one connection, from its start. One that comes later is not ended so: workers still have calls to
+    /// make of the flows that are being finished.
     async fn until_shut(self: Rc<Self>) {
-        let shut = self.idle.notified();
-        if !self.shut.get() {
-            shut.await;
+        match self.shut.get() {
+            true => std::future::pending().await,
+            false => self.idle.notified().await,
         }
     }
 }
--- /dev/null
+++ b/dispatcher/tests/common/mod.rs
@@ -0,0 +1,377 @@
+//! The program as a process, and its peers as the tests play them: clients, workers, discovery. Every wait
+//! is for something that must come, with a limit only against hanging.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const SETTINGS: &str = r#"{"instances": 1, "discovery": "ask", "azs": ["a"], "skus": ["m"], "zone": 0,
+ "classes": [
+  {"name": "quote", "aim_ms": 500, "deadline_ms": 8000, "effect": "repeatable", "late_share": 0.5},
+  {"name": "statement", "aim_ms": 500, "deadline_ms": 8000, "effect": "by_key", "group": "all", "key_ttl_ms": 9000, "late_share": 0.5},
+  {"name": "order", "aim_ms": 500, "deadline_ms": 8000, "effect": "once", "late_share": 0.5}],
+ "tenants": [{"name": "acme", "quota_per_s": 1000}],
+ "allowed": {"max_attempts": 3, "cancel": true, "retry_after": true, "max_retry_after_ms": 2000.0,
+  "most_held": 50, "keepalive_ms": 10000, "connect_timeout_ms": 1000},
+ "specifics": {"class_stretch": [2, 2, 2], "tells_start": true}}"#;
+
+/// A message as it came over the socket.
+#[derive(Debug)]
+pub struct Message {
+    /// The first line.
+    pub first: String,
+    pub headers: HashMap<String, String>,
+    pub body: String,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
+    }
+}
+
+/// Reads one message; nothing where the connection ends.
+pub fn read_message(stream: &mut impl BufRead) -> Option<Message> {
+    let mut line = || {
+        let mut line = String::new();
+        (stream.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
+    };
+    let first = line()?;
+    let mut headers = HashMap::new();
+    loop {
+        let line = line()?;
+        let Some((name, value)) = line.split_once(':') else { break };
+        headers.insert(name.to_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length").map_or(0, |l| l.parse().expect("a length"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(Message { first, headers, body: String::from_utf8(body).expect("text") })
+}
+
+pub fn write_message(stream: &mut TcpStream, first: &str, headers: &str, body: &str) {
+    let text = format!("{first}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// What came to a worker, and the say in what it answers. Dropped, it ends the connection.
+pub struct Seen {
+    pub message: Message,
+    answer: Sender<String>,
+}
+
+impl Seen {
+    pub fn answer(self, status: &str) {
+        let _ = self.answer.send(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    pub fn reference(&self) -> &str {
+        &self.message.headers["x-call-id"]
+    }
+}
+
+pub struct Worker {
+    pub id: String,
+    pub addr: SocketAddr,
+    seen: Receiver<Seen>,
+}
+
+impl Worker {
+    fn start(id: &str) -> Worker {
+        let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = socket.local_addr().expect("an address");
+        let (sender, seen) = channel();
+        thread::spawn(move || {
+            for stream in socket.incoming().flatten() {
+                let sender = sender.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+                    let mut stream = stream;
+                    while let Some(message) = read_message(&mut reader) {
+                        let (answer, answers) = channel();
+                        if sender.send(Seen { message, answer }).is_err() {
+                            return;
+                        }
+                        let Ok(answer) = answers.recv() else { return };
+                        let _ = stream.write_all(answer.as_bytes());
+                    }
+                });
+            }
+        });
+        Worker { id: id.into(), addr, seen }
+    }
+
+    /// The next request that comes here.
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(PATIENCE).expect("the worker is asked for something")
+    }
+
+    pub fn has_none(&self) -> bool {
+        self.seen.try_recv().is_err()
+    }
+
+    /// Takes a job with 202 and gives its reference.
+    pub fn take(&self) -> String {
+        let seen = self.next();
+        assert!(seen.message.first.starts_with("POST "), "{:?}", seen.message);
+        let reference = seen.reference().to_owned();
+        seen.answer("202 Accepted");
+        reference
+    }
+}
+
+/// The version of the list, its servers, and the version that the program has last said it knows.
+type Listing = Arc<(Mutex<(u64, String, u64)>, Condvar)>;
+
+/// A running program with its peers.
+pub struct Rig {
+    child: Child,
+    pub addr: SocketAddr,
+    pub workers: Vec<Worker>,
+    list: Listing,
+    dir: PathBuf,
+    /// What it wrote to the log after its addresses.
+    log: Receiver<String>,
+    pub front: Option<SocketAddr>,
+}
+
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("lineroute-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let dir = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&dir).expect("a folder");
+    dir
+}
+
+pub fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lineroute"));
+    command.env_clear().stderr(Stdio::piped()).stdin(Stdio::null());
+    command
+}
+
+fn discovery(list: Listing) -> SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = socket.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in socket.incoming().flatten() {
+            let list = list.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+                let mut stream = stream;
+                while let Some(asked) = read_message(&mut reader) {
+                    let number = |name: &str| -> u64 {
+                        let at = asked.first.find(name).map_or("0", |at| &asked.first[at + name.len()..]);
+                        at.split(['&', ' ']).next().and_then(|n| n.parse().ok()).unwrap_or(0)
+                    };
+                    let (after, wait) = (number("after="), Duration::from_millis(number("wait_ms=")));
+                    let mut state = list.0.lock().expect("a lock");
+                    state.2 = state.2.max(after);
+                    list.1.notify_all();
+                    let old = |s: &mut (u64, String, u64)| s.0 <= after;
+                    let (state, _) = list.1.wait_timeout_while(state, wait, old).expect("a lock");
+                    let (version, full) = (state.0, state.0 > after);
+                    let servers = if full { state.1.clone() } else { String::new() };
+                    drop(state);
+                    let body = format!(r#"{{"version":{version},"full":{full},"servers":[{servers}]}}"#);
+                    write_message(&mut stream, "HTTP/1.1 200 OK", "", &body);
+                }
+            });
+        }
+    });
+    addr
+}
+
+impl Rig {
+    /// The program with so many workers, all up.
+    pub fn start(workers: usize) -> Rig {
+        Rig::with(workers, SETTINGS, None)
+    }
+
+    /// Waits until the program knows the workers, and has its addresses.
+    pub fn with(workers: usize, settings: &str, operator: Option<&str>) -> Rig {
+        let workers: Vec<Worker> = (0..workers).map(|i| Worker::start(&format!("w{i}"))).collect();
+        let list: Listing = Arc::new((Mutex::new((1, String::new(), 0)), Condvar::new()));
+        let discovery = discovery(list.clone());
+        let dir = folder();
+        let servers: Vec<String> = workers.iter().map(|w| entry(w, "up")).collect();
+        let config = format!(
+            r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f","settings":{settings},
+             "known":{{"version":1,"full":true,"servers":[{}]}}}}"#,
+            servers.join(",")
+        );
+        std::fs::write(dir.join("config.json"), config).expect("a file");
+        let mut command = program();
+        command.env("GW_CONFIG", dir.join("config.json"));
+        if let Some(operator) = operator {
+            std::fs::write(dir.join("operator.json"), operator).expect("a file");
+            command.arg("--operator").arg(dir.join("operator.json"));
+        }
+        let mut child = command.spawn().expect("the program starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let mut address = || {
+            let line = lines.next().expect("a line").expect("text");
+            line.rsplit(' ').next().and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("{line}"))
+        };
+        let front = operator.map(|_| address());
+        let addr = address();
+        let (sender, log) = channel();
+        thread::spawn(move || lines.map_while(Result::ok).all(|line| sender.send(line).is_ok()));
+        Rig { child, addr, workers, list, dir, log, front }
+    }
+
+    /// Lists the workers anew, each in the state given, and waits until the program knows.
+    pub fn list(&self, states: &[&str]) {
+        let servers: Vec<String> = self.workers.iter().zip(states).map(|(w, s)| entry(w, s)).collect();
+        let mut state = self.list.0.lock().expect("a lock");
+        *state = (state.0 + 1, servers.join(","), state.2);
+        self.list.1.notify_all();
+        let unknown = |s: &mut (u64, String, u64)| s.2 < s.0;
+        let (_state, waited) = self.list.1.wait_timeout_while(state, PATIENCE, unknown).expect("a lock");
+        assert!(!waited.timed_out(), "the list is not asked for");
+    }
+
+    /// The next request that comes to any worker, and to which.
+    pub fn next(&self) -> (usize, Seen) {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            let seen = self.workers.iter().enumerate().find_map(|(i, w)| Some((i, w.seen.try_recv().ok()?)));
+            match seen {
+                Some(seen) => return seen,
+                None => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+        panic!("no worker is asked for anything")
+    }
+
+    pub fn connect(&self) -> Client {
+        Client::new(self.addr)
+    }
+
+    /// Sends a job and leaves the answer for later.
+    pub fn post(&self, reference: &str, class: &str, more: &str) -> Client {
+        let mut client = self.connect();
+        client.post(reference, class, more);
+        client
+    }
+
+    /// A worker's call.
+    pub fn news(&self, worker: usize, reference: &str, state: &str, more: &str) {
+        let id = &self.workers[worker].id;
+        let body = format!(r#"{{"id":"{reference}","from":"{id}","state":"{state}"{more}}}"#);
+        let mut client = self.connect();
+        client.send("POST /_jobs/news", "", &body);
+        assert_eq!(client.answer().status(), 200);
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    }
+
+    /// Waits for the program to end by itself.
+    pub fn ends(&mut self) -> ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the program goes on");
+    }
+
+    /// The next line of the log that holds these words.
+    pub fn logged(&self, words: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).expect("a line of the log");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn entry(worker: &Worker, state: &str) -> String {
+    let (id, addr) = (&worker.id, worker.addr);
+    format!(
+        r#"{{"id":"{id}","addr":"{addr}","zone":"a","kind":"m","cell":0,"state":"{state}","started_ms":0}}"#
+    )
+}
+
+/// One connection of a client.
+pub struct Client {
+    reader: BufReader<TcpStream>,
+    stream: TcpStream,
+}
+
+impl Client {
+    pub fn new(addr: SocketAddr) -> Client {
+        let stream = TcpStream::connect(addr).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { reader: BufReader::new(stream.try_clone().expect("a socket")), stream }
+    }
+
+    pub fn send(&mut self, first: &str, headers: &str, body: &str) {
+        write_message(
+            &mut self.stream,
+            &format!("{first} HTTP/1.1"),
+            &format!("Host: app.svc\r\n{headers}"),
+            body,
+        );
+    }
+
+    pub fn post(&mut self, reference: &str, class: &str, more: &str) {
+        let headers = format!("X-Call-Id: {reference}\r\nX-Call-Class: {class}\r\nX-Caller: acme\r\n{more}");
+        self.send("POST /api", &headers, "payload");
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
+    pub fn answer(&mut self) -> Message {
+        read_message(&mut self.reader).expect("an answer")
+    }
+
+    /// Whether the other side has ended the connection.
+    pub fn is_ended(&mut self) -> bool {
+        read_message(&mut self.reader).is_none()
+    }
+
+    /// A line, without its end.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).expect("a line in time");
+        assert!(line.ends_with("\r\n"), "{line:?}");
+        line.truncate(line.len() - 2);
+        line
+    }
+
+    pub fn bytes(&mut self, count: usize) -> String {
+        let mut bytes = vec![0; count];
+        self.reader.read_exact(&mut bytes).expect("so many bytes");
+        String::from_utf8(bytes).expect("text")
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/http.rs
@@ -0,0 +1,248 @@
+//! The platform's protocol: the program between clients, workers and discovery that the tests play.
+
+mod common;
+
+use common::{folder, program, Rig, SETTINGS};
+use rstest::rstest;
+use std::time::Instant;
+
+const DONE: &str = r#","result":"a chart""#;
+
+#[rstest]
+#[case::after_the_202(false)]
+#[case::before_the_202(true)]
+fn a_job_goes_through_and_its_result_is_the_answer(#[case] early: bool) {
+    let rig = Rig::start(1);
+    let mut client = rig.post("c1", "quote", "X-Budget-Ms: 7000\r\nIdempotency-Key: k1\r\n");
+    let seen = rig.workers[0].next();
+    assert_eq!(seen.message.first, "POST /api HTTP/1.1");
+    assert_eq!(seen.message.body, "payload");
+    assert_eq!((seen.reference(), &*seen.message.headers["idempotency-key"]), ("c1", "k1"));
+    assert!(seen.message.headers["x-budget-ms"].parse::<u32>().is_ok_and(|ms| (1..7000).contains(&ms)));
+    // A worker may be quicker with its calls than with its 202, and says things twice.
+    if early {
+        rig.news(0, "c1", "done", DONE);
+        rig.news(0, "c1", "done", DONE);
+        seen.answer("202 Accepted");
+    } else {
+        seen.answer("202 Accepted");
+        rig.news(0, "c1", "started", "");
+        rig.news(0, "c1", "running", r#","share":0.5"#);
+        rig.news(0, "c1", "done", DONE);
+    }
+    let answer = client.answer();
+    assert_eq!((answer.status(), &*answer.body), (200, "a chart"));
+    // The connection serves the next one.
+    client.post("c2", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c2");
+    rig.news(0, "c2", "done", DONE);
+    assert_eq!(client.answer().status(), 200);
+}
+
+/// How a first attempt may end, and whether a class may then go out again.
+#[rstest]
+#[case::turned_away("503 No\r\nX-Rejected: 1", "", "order", true)]
+#[case::timed_out_unstarted("504 No\r\nX-Rejected: 1", "", "order", true)]
+#[case::an_error_may_have_run("500 Oops", "", "order", false)]
+#[case::an_unmarked_503_may_have_run("503 Oops", "", "order", false)]
+#[case::an_error_is_repeated_where_harmless("500 Oops", "", "quote", true)]
+#[case::cut_before_the_202("", "", "quote", true)]
+#[case::cut_may_have_run("", "", "order", false)]
+#[case::a_redirect_is_not_followed("307 There\r\nLocation: /other", "", "order", false)]
+#[case::handed_back("202 Accepted", "returned", "order", true)]
+#[case::failed("202 Accepted", "failed", "statement", true)]
+#[case::lost("202 Accepted", "lost", "order", false)]
+fn an_attempt_is_repeated_only_as_its_class_permits(
+    #[case] status: &str,
+    #[case] news: &str,
+    #[case] class: &str,
+    #[case] again: bool,
+) {
+    let rig = Rig::start(1);
+    let mut client = rig.post("c1", class, "");
+    let seen = rig.workers[0].next();
+    match status {
+        "" => drop(seen),
+        _ => seen.answer(status),
+    }
+    if !news.is_empty() {
+        rig.news(0, "c1", news, "");
+    }
+    if again {
+        assert_eq!(rig.workers[0].take(), "c1");
+        rig.news(0, "c1", "done", DONE);
+        assert_eq!(client.answer().status(), 200);
+    } else {
+        let status = client.answer().status();
+        assert!(![200, 429, 503].contains(&status), "{status} would promise that it never ran");
+        assert!(rig.workers[0].has_none());
+    }
+}
+
+/// A worker's old word of an attempt that is over must not end the one that is out elsewhere.
+#[test]
+fn calls_of_another_worker_or_job_change_nothing() {
+    let rig = Rig::start(2);
+    let mut client = rig.post("c1", "quote", "");
+    let (first, seen) = rig.next();
+    seen.answer("202 Accepted");
+    let other = 1 - first;
+    rig.news(other, "c1", "done", r#","result":"not its own""#);
+    rig.news(first, "c0", "done", DONE);
+    rig.news(first, "c1", "a word of later days", "");
+    rig.news(first, "c1", "done", DONE);
+    assert_eq!(client.answer().body, "a chart");
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempt_given_up() {
+    let rig = Rig::start(1);
+    let client = rig.post("c1", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c1");
+    drop(client);
+    let seen = rig.workers[0].next();
+    assert_eq!(seen.message.first, "DELETE /jobs/c1 HTTP/1.1");
+    seen.answer("200 OK");
+    // Its id is free again, and a late word of it does no harm.
+    rig.news(0, "c1", "done", DONE);
+}
+
+#[test]
+fn an_answer_comes_within_the_budget_and_the_attempt_is_given_up() {
+    let rig = Rig::start(1);
+    let start = Instant::now();
+    let mut client = rig.post("c1", "order", "X-Budget-Ms: 400\r\n");
+    assert_eq!(rig.workers[0].take(), "c1");
+    let answer = client.answer();
+    assert!(start.elapsed().as_millis() < 400, "{:?}", start.elapsed());
+    assert_eq!(answer.status(), 504);
+    assert_eq!(rig.workers[0].next().message.first, "DELETE /jobs/c1 HTTP/1.1");
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new_and_keeps_what_it_has() {
+    let rig = Rig::start(2);
+    let mut clients: Vec<_> = (0..2).map(|i| rig.post(&format!("c{i}"), "quote", "")).collect();
+    // Two jobs, two workers: one each.
+    let held = [rig.workers[0].take(), rig.workers[1].take()];
+    rig.list(&["draining", "up"]);
+    for i in 0..6 {
+        let id = format!("d{i}");
+        let mut client = rig.post(&id, "quote", "");
+        assert_eq!(rig.workers[1].take(), id);
+        rig.news(1, &id, "done", DONE);
+        assert_eq!(client.answer().status(), 200);
+    }
+    assert!(rig.workers[0].has_none());
+    rig.news(0, &held[0], "done", DONE);
+    rig.news(1, &held[1], "done", DONE);
+    assert!(clients.iter_mut().all(|c| c.answer().status() == 200));
+}
+
+#[test]
+fn what_is_over_the_bound_is_refused_at_once_and_told_when_to_come_back() {
+    let rig = Rig::with(1, &SETTINGS.replace(r#""most_held": 50"#, r#""most_held": 1"#), None);
+    let _first = rig.post("c1", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c1");
+    let start = Instant::now();
+    let answer = rig.post("c2", "quote", "").answer();
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers["retry-after"].parse::<f64>().is_ok_and(|s| s > 0.0 && s <= 2.0));
+    assert!(start.elapsed().as_secs() < 4, "not held back");
+}
+
+#[rstest]
+#[case("POST /api", "X-Call-Class: quote\r\n", 400)]
+#[case("POST /api", "X-Call-Id: c1\r\nX-Call-Class: unheard\r\n", 400)]
+#[case("POST /api", "X-Call-Id: c1\r\n", 400)]
+#[case("POST /api", "X-Call-Id: a/b\r\nX-Call-Class: quote\r\n", 400)]
+#[case("POST /api", "X-Call-Id: c1\r\nX-Call-Class: quote\r\nX-Caller: nobody\r\n", 400)]
+#[case("POST /api", "X-Call-Id: c1\r\nX-Call-Class: quote\r\nX-Budget-Ms: soon\r\n", 400)]
+#[case("GET /api", "", 405)]
+#[case("POST /up", "", 405)]
+#[case("GET /up", "", 200)]
+#[case("POST /elsewhere", "", 404)]
+#[case("POST /_jobs/news", "", 400)]
+fn what_is_malformed_is_answered_at_once(#[case] first: &str, #[case] headers: &str, #[case] status: u16) {
+    let mut rig = Rig::start(1);
+    let mut client = rig.connect();
+    client.send(first, headers, "{");
+    assert_eq!(client.answer().status(), status);
+    assert!(rig.workers[0].has_none() && rig.is_running());
+}
+
+#[rstest]
+#[case(b"no http at all\r\n\r\n".to_vec(), 400)]
+#[case(b"POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: c1\r\nX-Call-Class: quote\r\nContent-Length: 70000\r\n\r\n".iter().copied().chain([b'x'; 70000]).collect(), 413)]
+fn what_is_no_request_or_too_long_gets_an_answer(#[case] bytes: Vec<u8>, #[case] status: u16) {
+    let mut rig = Rig::start(1);
+    let mut client = rig.connect();
+    client.write(&bytes);
+    assert_eq!(client.answer().status(), status);
+    assert!(rig.is_running());
+}
+
+#[test]
+fn an_id_that_is_in_work_is_not_taken_twice() {
+    let rig = Rig::start(1);
+    let mut first = rig.post("c1", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c1");
+    assert_eq!(rig.post("c1", "quote", "").answer().status(), 409);
+    rig.news(0, "c1", "done", DONE);
+    assert_eq!(first.answer().status(), 200);
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_ends_well() {
+    let mut rig = Rig::start(1);
+    let mut idle = rig.connect();
+    let mut before = rig.post("c1", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c1");
+    rig.terminate();
+    rig.logged("SIGTERM");
+    // Clients that have not heard of it still come.
+    let mut after = rig.post("c2", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c2");
+    // One that keeps its connection open for nothing is not waited for.
+    assert!(idle.is_ended());
+    rig.news(0, "c1", "done", DONE);
+    rig.news(0, "c2", "done", DONE);
+    for client in [&mut before, &mut after] {
+        let answer = client.answer();
+        assert_eq!((answer.status(), &*answer.headers["connection"]), (200, "close"));
+    }
+    assert!(rig.ends().success());
+}
+
+#[rstest]
+#[case(r#""rules": {"cold_from": 0}"#, "rules.cold_from")]
+#[case(r#""zone": "a""#, "zone")]
+#[case(r#""worth_by": "weight""#, "worth_by")]
+fn unusable_settings_end_the_program_and_name_their_key(#[case] setting: &str, #[case] key: &str) {
+    let settings = SETTINGS.replace(r#", "zone": 0"#, "").replacen('{', &format!("{{{setting}, "), 1);
+    let file = folder().join("config.json");
+    let config = format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","settings":{settings}}}"#);
+    std::fs::write(&file, config).expect("a file");
+    let out = program().env("GW_CONFIG", &file).output().expect("it runs");
+    let words = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && words.contains(key), "{words}");
+}
+
+#[rstest]
+#[case("GW_CONFIG", None, "GW_CONFIG")]
+#[case("GW_LISTEN", Some("here"), "GW_LISTEN")]
+#[case("GW_DISCOVERY", None, "GW_DISCOVERY")]
+#[case("GW_CONFIG", Some("/nowhere/config.json"), "GW_CONFIG")]
+fn missing_variables_are_named(#[case] key: &str, #[case] value: Option<&str>, #[case] named: &str) {
+    let file = folder().join("config.json");
+    std::fs::write(&file, format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#)).expect("a file");
+    let mut command = program();
+    command.env("GW_CONFIG", &file);
+    match value {
+        Some(value) => command.env(key, value),
+        None => command.env_remove(key),
+    };
+    let out = command.output().expect("it runs");
+    let words = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && words.contains(named), "{words}");
+}
