--- a/dispatcher/src/flow.rs
+++ b/dispatcher/src/flow.rs
@@ -70,6 +70,7 @@
     pub target: TargetId,
     pub name: Rc<str>,
     pub addr: SocketAddr,
+    pub carrier: usize,
     /// What the list said of the target when this was decided.
     pub stage: Stage,
     pub job: Rc<Job>,
@@ -105,17 +106,24 @@
 #[derive(Clone)]
 struct Known {
     name: Rc<str>,
-    addr: SocketAddr,
+    place: Place,
     stage: Stage,
 }
 
+/// Where a target is reached, and who carries forwards there, by position among those plugged in.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub addr: SocketAddr,
+    pub carrier: usize,
+}
+
 /// Done after the borrow of the core has ended.
 enum Effect {
     Answer(Box<dyn Listener>, Answer),
     Forward(Forward),
     Cancel(Forward),
-    Probe(TargetId, SocketAddr),
-    Closed(TargetId),
+    Probe(TargetId, Place),
+    Closed(TargetId, usize),
     Unreachable(Ticket),
     ProbeFailed(TargetId),
 }
@@ -152,7 +160,7 @@
 #[derive(Clone)]
 pub struct Flows {
     core: Rc<RefCell<Core>>,
-    target: Rc<RefCell<Option<Rc<dyn Target>>>>,
+    targets: Rc<RefCell<Vec<Rc<dyn Target>>>>,
     timer: Rc<Notify>,
     watch: Rc<Notify>,
     settled: Rc<Notify>,
@@ -172,16 +180,18 @@
         };
         Flows {
             core: Rc::new(RefCell::new(core)),
-            target: Rc::default(),
+            targets: Rc::default(),
             timer: Rc::default(),
             watch: Rc::default(),
             settled: Rc::default(),
         }
     }
 
-    /// Says who carries the forwards.
-    pub fn plug(&self, target: Rc<dyn Target>) {
-        *self.target.borrow_mut() = Some(target);
+    /// Adds one who carries forwards; its position.
+    pub fn plug(&self, target: Rc<dyn Target>) -> usize {
+        let mut targets = self.targets.borrow_mut();
+        targets.push(target);
+        targets.len() - 1
     }
 
     /// Takes a job in. From here on its listener is owed one answer, unless it leaves first.
@@ -293,7 +303,7 @@
     }
 
     /// News of the targets, with their addresses.
-    pub fn list(&self, kind: ListKind, entries: Vec<(Listed, SocketAddr)>) {
+    pub fn list(&self, kind: ListKind, entries: Vec<(Listed, Place)>) {
         let effects = {
             let core = &mut *self.core.borrow_mut();
             let mut effects = Vec::new();
@@ -301,14 +311,14 @@
                 let named: FxHashSet<TargetId> = entries.iter().map(|e| e.0.target).collect();
                 for (id, known) in core.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
                     known.stage = Stage::Gone;
-                    effects.push(Effect::Closed(*id));
+                    effects.push(Effect::Closed(*id, known.place.carrier));
                 }
             }
-            for (listed, addr) in &entries {
+            for (listed, place) in &entries {
                 let name = core.facade.name(listed.target).into();
-                core.targets.insert(listed.target, Known { name, addr: *addr, stage: listed.stage });
+                core.targets.insert(listed.target, Known { name, place: *place, stage: listed.stage });
                 if listed.stage != Stage::Ready {
-                    effects.push(Effect::Closed(listed.target));
+                    effects.push(Effect::Closed(listed.target, place.carrier));
                 }
             }
             let listed = entries.into_iter().map(|e| e.0).collect();
@@ -324,6 +334,13 @@
         self.core.borrow().targets.get(&forward.target).is_some_and(|t| t.stage == forward.stage)
     }
 
+    /// Whether a forward is out and has not been given up.
+    pub fn is_out(&self, ticket: Ticket) -> bool {
+        let core = self.core.borrow();
+        let out = core.flows.get(&ticket.flow).and_then(|f| f.out.as_ref());
+        out.is_some_and(|o| o.forward.ticket == ticket && !o.cancelling)
+    }
+
     /// Flows that are owed an answer.
     pub fn owed(&self) -> usize {
         self.core.borrow().flows.values().filter(|f| f.listener.is_some()).count()
@@ -375,17 +392,17 @@
         if effects.is_empty() {
             return;
         }
-        let Some(target) = self.target.borrow().clone() else { return };
+        let targets = self.targets.borrow().clone();
         for effect in effects {
             match effect {
                 Effect::Answer(listener, answer) => {
                     listener.answer(answer);
                     self.settled.notify_one();
                 }
-                Effect::Forward(forward) => target.forward(forward),
-                Effect::Cancel(forward) => target.cancel(forward),
-                Effect::Probe(id, addr) => target.probe(id, addr),
-                Effect::Closed(id) => target.closed(id),
+                Effect::Forward(forward) => targets[forward.carrier].forward(forward),
+                Effect::Cancel(forward) => targets[forward.carrier].cancel(forward),
+                Effect::Probe(id, place) => targets[place.carrier].probe(id, place.addr),
+                Effect::Closed(id, carrier) => targets[carrier].closed(id),
                 Effect::Unreachable(ticket) => self.ended(ticket, Outcome::NoRoute, None),
                 Effect::ProbeFailed(id) => self.probed(id, Outcome::NoRoute),
             }
@@ -424,7 +441,7 @@
                     }
                 }
                 Decision::Probe(target) => effects.push(match self.targets.get(&target) {
-                    Some(known) => Effect::Probe(target, known.addr),
+                    Some(known) => Effect::Probe(target, known.place),
                     None => Effect::ProbeFailed(target),
                 }),
                 Decision::Watch => watch.notify_one(),
@@ -449,14 +466,15 @@
         let unreachable = known.is_none();
         let known = known.unwrap_or_else(|| Known {
             name: "?".into(),
-            addr: ([127, 0, 0, 1], 0).into(),
+            place: Place { addr: ([127, 0, 0, 1], 0).into(), carrier: 0 },
             stage: Stage::Gone,
         });
         let forward = Forward {
             ticket,
             target,
             name: known.name,
-            addr: known.addr,
+            addr: known.place.addr,
+            carrier: known.place.carrier,
             stage: known.stage,
             job: flow.job.clone(),
             until: flow.until,
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -2,11 +2,11 @@
 //! fails the module says when to try again.
 
 use crate::facade::{ListKind, Listed, Stage};
-use crate::flow::Flows;
+use crate::flow::{Flows, Place};
 use crate::log::log;
 use crate::targets::http::HttpClient;
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,7 +28,7 @@
 }
 
 /// One worker in a list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Host {
     pub id: String,
     pub addr: SocketAddr,
@@ -38,14 +38,16 @@
     pub kind: String,
     #[serde(default)]
     pub cell: u32,
+    #[serde(default)]
     pub state: State,
     #[serde(default)]
     pub started_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
+    #[default]
     Up,
     Draining,
     Removed,
@@ -56,6 +58,8 @@
 pub struct Names {
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
+    /// Who carries forwards to workers of a kind, where that is not the first.
+    pub carriers: FxHashMap<String, usize>,
 }
 
 impl Names {
@@ -72,7 +76,7 @@
 /// Hands a list to the core.
 pub fn take(flows: &Flows, names: &mut Names, list: &HostList, kind: ListKind) {
     // A worker that a list names twice counts as its last entry says.
-    let mut entries: FxHashMap<&str, (Listed, SocketAddr)> = FxHashMap::default();
+    let mut entries: FxHashMap<&str, (Listed, Place)> = FxHashMap::default();
     for host in &list.servers {
         let listed = Listed {
             target: flows.target(&host.id),
@@ -86,7 +90,8 @@
             },
             started_ms: host.started_ms,
         };
-        entries.insert(&host.id, (listed, host.addr));
+        let carrier = names.carriers.get(&host.kind).copied().unwrap_or(0);
+        entries.insert(&host.id, (listed, Place { addr: host.addr, carrier }));
     }
     let mut entries: Vec<_> = entries.into_values().collect();
     entries.sort_by_key(|e| e.0.target.0);
@@ -138,3 +143,11 @@
         flows.list_failed();
     }
 }
+
+/// Stands in for discovery where the operator's file lists the hosts: nothing ever changes. Never ends.
+pub async fn stand(flows: Flows) {
+    loop {
+        flows.watch_wanted().await;
+        flows.list(ListKind::Delta, Vec::new());
+    }
+}
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -90,6 +90,9 @@
     pub phase: Rc<Phase>,
     /// Connections at a time.
     pub most: usize,
+    /// Begins the ids of jobs that came without one; how many have.
+    pub prefix: String,
+    pub made: Cell<u64>,
 }
 
 /// Hands the answer to the task that holds the connection.
@@ -221,7 +224,15 @@
 
     fn read_head(&self, request: &Request, route: &Route) -> Result<(Job, Duration), &'static str> {
         let headers = request.headers();
-        let id = text(headers, "x-call-id")?.ok_or("X-Call-Id is missing\n")?;
+        let id = match text(headers, "x-call-id")? {
+            Some(id) => id.to_owned(),
+            // An operator's route is open to clients that know nothing of the platform.
+            None if route.class.is_some() => {
+                self.made.set(self.made.get() + 1);
+                format!("{}-h{}", self.prefix, self.made.get())
+            }
+            None => return Err("X-Call-Id is missing\n"),
+        };
         let plain_id = id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:~".contains(&b));
         if id.is_empty() || id.len() > LONGEST_ID || !plain_id {
             return Err("X-Call-Id is not a plain word of 1 to 128 characters\n");
@@ -246,7 +257,7 @@
         let slots = slots.filter(|s| s.is_finite() && *s > 0.0).unwrap_or(1.0);
         let owned = |name| Ok::<_, &'static str>(text(headers, name)?.map(str::to_owned));
         let job = Job {
-            reference: id.to_owned(),
+            reference: id,
             class,
             tenant,
             key: owned("x-route-hash")?,
--- /dev/null
+++ b/dispatcher/src/nginx.rs
@@ -0,0 +1,301 @@
+//! Turns nginx's `upstream` and `location` blocks into the operator's settings. Pure text to settings: each
+//! upstream becomes a kind of worker and a class bound to it, each location a route to that class. What can't
+//! be kept as nginx would is not dropped in silence: it is rejected by its line and name.
+
+use crate::config::{Matching, Operator, RawRoute};
+use crate::list::{Host, State};
+use serde_json::json;
+use std::net::SocketAddr;
+
+/// nginx's own default for `proxy_read_timeout`.
+const READ_TIMEOUT_MS: u64 = 60_000;
+/// An answer within this part of the time-out counts as in time.
+const AIM_PART: u64 = 4;
+
+#[derive(Debug, PartialEq)]
+enum Token {
+    Word(String),
+    Semicolon,
+    Open,
+    Close,
+}
+
+/// A directive with the line it begins on, and its block if it has one.
+#[derive(Debug)]
+struct Directive {
+    line: usize,
+    name: String,
+    arguments: Vec<String>,
+    block: Option<Vec<Directive>>,
+}
+
+impl Directive {
+    fn error(&self, words: &str) -> String {
+        format!("line {}: {}: {words}", self.line, self.name)
+    }
+
+    fn only(&self) -> Result<&str, String> {
+        match &self.arguments[..] {
+            [one] => Ok(one),
+            _ => Err(self.error("takes one argument")),
+        }
+    }
+}
+
+fn tokens(text: &str) -> Result<Vec<(usize, Token)>, String> {
+    let mut found = Vec::new();
+    let mut rest = text.chars().peekable();
+    let mut line = 1;
+    while let Some(c) = rest.next() {
+        match c {
+            '\n' => line += 1,
+            c if c.is_whitespace() => {}
+            '#' => while rest.next_if(|c| *c != '\n').is_some() {},
+            ';' => found.push((line, Token::Semicolon)),
+            '{' => found.push((line, Token::Open)),
+            '}' => found.push((line, Token::Close)),
+            '"' | '\'' => {
+                let (start, mut word) = (line, String::new());
+                loop {
+                    match rest.next() {
+                        None => return Err(format!("line {start}: a quote is not closed")),
+                        Some(end) if end == c => break,
+                        Some('\\') => word.extend(rest.next()),
+                        Some(inner) => {
+                            line += usize::from(inner == '\n');
+                            word.push(inner);
+                        }
+                    }
+                }
+                found.push((start, Token::Word(word)));
+            }
+            first => {
+                let mut word = String::from(first);
+                while let Some(c) = rest.next_if(|c| !c.is_whitespace() && !";{}".contains(*c)) {
+                    word.push(c);
+                }
+                found.push((line, Token::Word(word)));
+            }
+        }
+    }
+    Ok(found)
+}
+
+/// Reads directives up to the end of their block, without recursion: blocks that are open wait in `outer`.
+fn directives(text: &str) -> Result<Vec<Directive>, String> {
+    let mut outer: Vec<(Directive, Vec<Directive>)> = Vec::new();
+    let (mut here, mut current): (Vec<Directive>, Option<Directive>) = (Vec::new(), None);
+    for (line, token) in tokens(text)? {
+        match (token, current.take()) {
+            (Token::Word(name), None) => {
+                current = Some(Directive { line, name, arguments: Vec::new(), block: None });
+            }
+            (Token::Word(word), Some(mut directive)) => {
+                directive.arguments.push(word);
+                current = Some(directive);
+            }
+            (Token::Semicolon, Some(directive)) => here.push(directive),
+            (Token::Open, Some(directive)) => outer.push((directive, std::mem::take(&mut here))),
+            (Token::Close, None) => {
+                let (mut directive, around) = outer.pop().ok_or(format!("line {line}: unexpected \"}}\""))?;
+                directive.block = Some(std::mem::replace(&mut here, around));
+                here.push(directive);
+            }
+            (Token::Semicolon, None) => return Err(format!("line {line}: unexpected \";\"")),
+            (Token::Open, None) => return Err(format!("line {line}: unexpected \"{{\"")),
+            (Token::Close, Some(d)) => return Err(d.error("is not ended by \";\"")),
+        }
+    }
+    match (current, outer.pop()) {
+        (Some(directive), _) => Err(directive.error("is not ended by \";\"")),
+        (None, Some((directive, _))) => Err(directive.error("its block is not closed")),
+        (None, None) => Ok(here),
+    }
+}
+
+struct Location<'a> {
+    at: &'a Directive,
+    path: String,
+    matching: Matching,
+    upstream: String,
+    timeout_ms: u64,
+    effect: &'static str,
+}
+
+/// The operator's settings that these blocks amount to.
+pub fn import(text: &str) -> Result<Operator, String> {
+    let top = directives(text)?;
+    let (mut upstreams, mut locations): (Vec<&Directive>, Vec<Location>) = (Vec::new(), Vec::new());
+    let mut open: Vec<&Directive> = top.iter().rev().collect();
+    while let Some(directive) = open.pop() {
+        match (directive.name.as_str(), &directive.block) {
+            ("http" | "server", Some(block)) if directive.arguments.is_empty() => {
+                open.extend(block.iter().rev());
+            }
+            ("upstream", Some(_)) => upstreams.push(directive),
+            ("location", Some(block)) => locations.push(location(directive, block)?),
+            _ => return Err(directive.error("not supported here")),
+        }
+    }
+    let mut operator = Operator::default();
+    for upstream in &upstreams {
+        let name = upstream.only()?;
+        if operator.hosts.iter().any(|h| h.kind == name) {
+            return Err(upstream.error("a second one of this name"));
+        }
+        let hosts = upstream.block.iter().flatten().map(|d| host(d, name));
+        operator.hosts.extend(hosts.collect::<Result<Vec<_>, _>>()?);
+        if !operator.hosts.iter().any(|h| h.kind == name) {
+            return Err(upstream.error("has no server"));
+        }
+    }
+    for location in locations {
+        let Location { at, path, matching, upstream, timeout_ms, effect } = location;
+        if !operator.hosts.iter().any(|h| h.kind == upstream) {
+            return Err(at.error(&format!("no upstream is named {upstream:?}")));
+        }
+        if operator.routes.iter().any(|r| r.path == path && r.matching == matching) {
+            return Err(at.error("a second one of this path"));
+        }
+        // Locations differ in time-outs and repeats: each is a class of its own.
+        let class = format!("{upstream}{path}");
+        let class = if matching == Matching::Exact { format!("={class}") } else { class };
+        let settings = json!({"name": class, "kind": upstream, "aim_ms": (timeout_ms / AIM_PART).max(1),
+            "deadline_ms": timeout_ms, "late_share": 0.5, "effect": effect});
+        operator.classes.extend(settings.as_object().cloned());
+        operator.routes.push(RawRoute { path, matching, class, budget_ms: Some(timeout_ms) });
+    }
+    Ok(operator)
+}
+
+fn host(directive: &Directive, upstream: &str) -> Result<Host, String> {
+    if directive.name != "server" || directive.block.is_some() {
+        return Err(directive.error("not supported in an upstream: shares follow measured response times"));
+    }
+    let (addr, parameters) =
+        directive.arguments.split_first().ok_or_else(|| directive.error("names no address"))?;
+    let addr: SocketAddr =
+        addr.parse().map_err(|_| directive.error(&format!("{addr:?} is no address with a port")))?;
+    let mut state = State::Up;
+    for parameter in parameters {
+        match parameter.as_str() {
+            "down" => state = State::Draining,
+            "weight=1" => {}
+            other => return Err(directive.error(&format!("parameter {other:?} is not supported"))),
+        }
+    }
+    Ok(Host {
+        id: format!("{upstream}-{addr}"),
+        addr,
+        zone: String::new(),
+        kind: upstream.into(),
+        cell: 0,
+        state,
+        started_ms: 0,
+    })
+}
+
+fn location<'a>(at: &'a Directive, block: &[Directive]) -> Result<Location<'a>, String> {
+    let (matching, path) = match at.arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [path] | ["^~", path] => (Matching::Prefix, path),
+        ["=", path] => (Matching::Exact, path),
+        [modifier, _] => return Err(at.error(&format!("modifier {modifier:?} is not supported"))),
+        _ => return Err(at.error("takes a path")),
+    };
+    if !path.starts_with('/') {
+        return Err(at.error(&format!("{path:?} does not begin with /")));
+    }
+    // nginx sends a POST again only where it is told that this is harmless.
+    let (mut upstream, mut timeout_ms, mut effect) = (None, READ_TIMEOUT_MS, "once");
+    for directive in block {
+        match directive.name.as_str() {
+            _ if directive.block.is_some() => return Err(directive.error("not supported here")),
+            "proxy_pass" => {
+                let url = directive.only()?;
+                let name = url.strip_prefix("http://").ok_or_else(|| directive.error("only http:// is"))?;
+                if name.contains(['/', '$', ':']) {
+                    return Err(directive.error("must name an upstream and nothing behind it"));
+                }
+                upstream = Some(name.to_owned());
+            }
+            "proxy_read_timeout" => timeout_ms = time(directive)?,
+            "proxy_next_upstream" => {
+                for word in &directive.arguments {
+                    match word.as_str() {
+                        "error" | "timeout" | "http_500" | "http_502" | "http_503" | "http_504" => {}
+                        "non_idempotent" => effect = "repeatable",
+                        "off" => return Err(directive.error("off is not supported")),
+                        other => return Err(directive.error(&format!("{other:?} is not supported"))),
+                    }
+                }
+            }
+            _ => return Err(directive.error("not supported in a location")),
+        }
+    }
+    let upstream = upstream.ok_or_else(|| at.error("has no proxy_pass"))?;
+    Ok(Location { at, path: path.into(), matching, upstream, timeout_ms, effect })
+}
+
+/// nginx's times: seconds unless a unit is given.
+fn time(directive: &Directive) -> Result<u64, String> {
+    let text = directive.only()?;
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let factor = match &text[digits.len()..] {
+        "ms" => 1,
+        "" | "s" => 1000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        _ => return Err(directive.error(&format!("{text:?} is no time"))),
+    };
+    let number: u64 = digits.parse().map_err(|_| directive.error(&format!("{text:?} is no time")))?;
+    let ms = number.checked_mul(factor).filter(|ms| (1..=86_400_000).contains(ms));
+    ms.ok_or_else(|| directive.error(&format!("{text:?} is out of range")))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const BLOCKS: &str = "http { # all of it\n upstream charts { server 127.0.0.1:9001;\n\
+        server 127.0.0.1:9002 down; }\n server { location /charts/ {\n proxy_pass http://charts;\n\
+        proxy_read_timeout 5s; proxy_next_upstream error timeout non_idempotent; }\n\
+        location = \"/chart\" { proxy_pass http://charts; } } }";
+
+    #[test]
+    fn blocks_become_hosts_classes_and_routes() {
+        let operator = import(BLOCKS).unwrap();
+        let hosts: Vec<_> = operator.hosts.iter().map(|h| (h.id.as_str(), h.kind.as_str())).collect();
+        assert_eq!(hosts, [("charts-127.0.0.1:9001", "charts"), ("charts-127.0.0.1:9002", "charts")]);
+        assert!(matches!(operator.hosts[1].state, State::Draining));
+        let routes = operator.routes.iter().map(|r| (r.path.as_str(), r.matching, r.budget_ms));
+        let expected =
+            [("/charts/", Matching::Prefix, Some(5000)), ("/chart", Matching::Exact, Some(60_000))];
+        assert_eq!(routes.collect::<Vec<_>>(), expected);
+        assert_eq!(
+            (&operator.classes[0]["effect"], &operator.classes[1]["effect"]),
+            (&json!("repeatable"), &json!("once"))
+        );
+        assert_eq!(operator.classes[0]["kind"], "charts");
+    }
+
+    #[rstest]
+    #[case("upstream u {\n least_conn;\n}", &["line 2", "least_conn"])]
+    #[case("upstream u { server 127.0.0.1:1 weight=3; }", &["line 1", "server", "weight=3"])]
+    #[case("upstream u { server here; }", &["server", "here"])]
+    #[case("upstream u { }", &["upstream", "no server"])]
+    #[case("\nlisten 80;", &["line 2", "listen"])]
+    #[case("location ~ \\.png$ { proxy_pass http://u; }", &["location", "~"])]
+    #[case("location / { proxy_pass http://u; }", &["location", "\"u\""])]
+    #[case("location / { proxy_pass http://u/x; }", &["proxy_pass"])]
+    #[case("location / {\n\n proxy_set_header A b; }", &["line 3", "proxy_set_header"])]
+    #[case("location / { proxy_pass http://u; proxy_read_timeout soon; }", &["proxy_read_timeout", "soon"])]
+    #[case("upstream u { server 127.0.0.1:1;", &["line 1", "upstream", "not closed"])]
+    #[case("upstream u { server 127.0.0.1:1 }", &["server", ";"])]
+    #[case("}", &["line 1"])]
+    #[case("\"open", &["line 1", "quote"])]
+    fn what_is_not_supported_is_rejected_by_line_and_name(#[case] text: &str, #[case] words: &[&str]) {
+        let error = import(text).unwrap_err();
+        assert!(words.iter().all(|w| error.contains(w)), "{error}");
+    }
+}
--- a/dispatcher/src/targets/mod.rs
+++ b/dispatcher/src/targets/mod.rs
@@ -1,3 +1,4 @@
 //! The workers' side, a module for each protocol that workers speak.
 
+pub mod beanstalkd;
 pub mod http;
