Send no second attempt before the worker knows that the first is given up

Ruled out: the module, which sends only after an outcome, and cancels before the 202, which the close gives up. Now a DELETE that reached nobody is tried again until it does, the process is dead, or the deadline has come; idle connections stay 8.5 s of 10, so that one is there more often.

--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,14 +21,18 @@
 const MAX_ANSWER: usize = 64 << 10;
 /// How long a probe may take.
 const PROBE_WITHIN: Duration = Duration::from_millis(200);
+/// Between attempts to tell a worker that is not reached that a job is given up.
+const CANCEL_AGAIN: Duration = Duration::from_millis(100);
 /// How long the answer to giving up a job is waited for, beyond connecting.
 const CANCEL_WITHIN: Duration = Duration::from_millis(150);
 /// Our idle connections end before a worker ends them: a request written to one it has closed is lost.
-const IDLE_PART: f64 = 0.7;
+const IDLE_PART: f64 = 0.85;
 
 /// Why a call brought no answer.
 #[derive(Debug)]
 pub enum CallError {
+    /// Nobody listens there: the process is dead, and what it had with it.
+    Refused,
     /// No connection came up: nothing was sent.
     NoConnection(String),
     /// No answer in time.
@@ -39,6 +44,7 @@
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            CallError::Refused => write!(f, "connection refused"),
             CallError::NoConnection(e) => write!(f, "no connection: {e}"),
             CallError::Timeout => write!(f, "no answer in time"),
             CallError::Broken(e) => write!(f, "broken: {e}"),
@@ -51,6 +57,9 @@
         match error {
             // awc says this also of a connection that ended before the head of the answer: it was in use.
             SendRequestError::Connect(ConnectError::Disconnected) => CallError::Broken("disconnected".into()),
+            SendRequestError::Connect(ConnectError::Io(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                CallError::Refused
+            }
             SendRequestError::Connect(e) => CallError::NoConnection(e.to_string()),
             SendRequestError::Timeout => CallError::Timeout,
             e => CallError::Broken(e.to_string()),
@@ -217,6 +226,10 @@
         self.flows.ended(ticket, outcome, result);
     }
 
+    fn is_out(&self, forward: &Forward) -> bool {
+        self.out.borrow().get(&forward.job.reference).is_some_and(|o| o.ticket == forward.ticket)
+    }
+
     async fn post(&self, forward: &Forward) {
         let job = &forward.job;
         if !self.flows.stands(forward) {
@@ -239,7 +252,7 @@
             Ok(HttpAnswer { status: 202, .. }) => return,
             Ok(HttpAnswer { status: 503 | 504, rejected: true, .. }) => Outcome::NoRoom,
             Ok(_) => Outcome::Fault,
-            Err(CallError::NoConnection(_)) => Outcome::NoRoute,
+            Err(CallError::Refused | CallError::NoConnection(_)) => Outcome::NoRoute,
             Err(CallError::Broken(_)) => Outcome::Cut,
             Err(CallError::Timeout) => Outcome::TimedOut,
         };
@@ -265,16 +278,37 @@
         actix_rt::spawn(async move {
             // Before the 202 it is the end of the connection that gives the job up. Only when that is done and
             // the worker knows may the next attempt go out: else there were two.
+            let mut given_up = false;
             if let Some(task) = task {
+                given_up = !task.is_finished();
                 task.abort();
                 let _ = task.await;
             }
             let path = format!("/jobs/{}", forward.job.reference);
             let within = this.connect_within + CANCEL_WITHIN;
-            let _ = this
-                .client
-                .call(Method::DELETE, forward.addr, &path, &[], Bytes::new(), within, MAX_ANSWER)
-                .await;
+            // After the 202 a worker that is cut off still has the job until it is told: guards against a
+            // second copy beside one that nobody could call back.
+            while this.is_out(&forward) {
+                let call = this.client.call(
+                    Method::DELETE,
+                    forward.addr,
+                    &path,
+                    &[],
+                    Bytes::new(),
+                    within,
+                    MAX_ANSWER,
+                );
+                match call.await {
+                    Ok(_) | Err(CallError::Refused | CallError::Timeout) => break,
+                    Err(CallError::NoConnection(_)) if given_up => break,
+                    // Broken: it may have been an idle connection that the worker had closed.
+                    Err(CallError::NoConnection(_) | CallError::Broken(_)) => {}
+                }
+                if Instant::now() >= forward.until {
+                    break;
+                }
+                tokio::time::sleep(CANCEL_AGAIN).await;
+            }
             this.end(&forward.job.reference, forward.ticket, Outcome::Cancelled, None);
         });
     }
@@ -286,7 +320,7 @@
                 Ok((200, _)) => Outcome::Served,
                 Ok((503, _)) => Outcome::NoRoom,
                 Ok(_) => Outcome::Fault,
-                Err(CallError::NoConnection(_)) => Outcome::NoRoute,
+                Err(CallError::Refused | CallError::NoConnection(_)) => Outcome::NoRoute,
                 Err(CallError::Broken(_)) => Outcome::Cut,
                 Err(CallError::Timeout) => Outcome::TimedOut,
             };
--- a/dispatcher/tests/http.rs
+++ b/dispatcher/tests/http.rs
@@ -107,6 +107,29 @@
     rig.news(0, "c1", "done", DONE);
 }
 
+/// Seen when a data centre fell silent: no connection came up to call the attempt back, and a second one went
+/// out beside it.
+#[test]
+fn no_second_attempt_goes_out_before_the_worker_knows_that_the_first_is_given_up() {
+    let rig = Rig::with(2, &SETTINGS.replace(r#""aim_ms": 500"#, r#""aim_ms": 50"#), None);
+    let mut client = rig.post("c1", "quote", "");
+    let (first, seen) = rig.next();
+    seen.answer("202 Accepted");
+    rig.news(first, "c1", "started", "");
+    // Nothing comes of it for ten usual times. The worker breaks off when it is told.
+    for _ in 0..3 {
+        let seen = rig.workers[first].next();
+        assert_eq!(seen.message.first, "DELETE /jobs/c1 HTTP/1.1");
+        assert!(rig.workers[1 - first].has_none());
+    }
+    rig.workers[first].next().answer("200 OK");
+    let (second, seen) = rig.next();
+    assert!(seen.message.first.starts_with("POST "));
+    seen.answer("202 Accepted");
+    rig.news(second, "c1", "done", DONE);
+    assert_eq!(client.answer().status(), 200);
+}
+
 #[test]
 fn an_answer_comes_within_the_budget_and_the_attempt_is_given_up() {
     let rig = Rig::start(1);
