--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -115,7 +115,7 @@
             return "DRAINING".into();
         }
         let now = Instant::now();
-        let Some(id) = self.tubes.borrow_mut().open(tube, pri, delay, ttr, body.len(), now) else {
+        let Some(id) = self.tubes.borrow_mut().open(tube, pri, delay, ttr, body.clone(), now) else {
             return "OUT_OF_MEMORY".into();
         };
         let job = Job {
--- a/dispatcher/src/listeners/beanstalkd/tubes.rs
+++ b/dispatcher/src/listeners/beanstalkd/tubes.rs
@@ -122,15 +122,15 @@
         pri: u32,
         delay: Duration,
         ttr: Duration,
-        size: usize,
+        body: Bytes,
         now: Instant,
     ) -> Option<u64> {
-        let weight = size + ANSWER_ROOM;
+        let weight = body.len() + ANSWER_ROOM;
         if self.jobs.len() >= self.max_jobs || self.bytes + weight > self.max_bytes {
             return None;
         }
         let state = State::Open(None);
-        Some(self.insert(Entry { weight, ..entry(tube, state, pri, delay, ttr, Bytes::new(), now) }))
+        Some(self.insert(Entry { weight, ..entry(tube, state, pri, delay, ttr, body, now) }))
     }
 
     /// The flow of an open job has begun.
--- a/dispatcher/tests/beanstalkd.rs
+++ b/dispatcher/tests/beanstalkd.rs
@@ -48,6 +48,7 @@
     client.use_tube("statements").expect("a tube");
     let id = client.put(b"payload", 0, Duration::ZERO, Duration::from_secs(60)).expect("room");
     assert_eq!(client.stats_job(id).expect("known")["state"], "reserved");
+    assert_eq!(client.peek(id).expect("known").body(), b"payload");
     let seen = rig.workers[0].next();
     assert_eq!((&*seen.message.first, &*seen.message.body), ("POST /api HTTP/1.1", "payload"));
     assert!(seen.message.headers.contains_key("idempotency-key"), "a keyed class carries a key");
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -89,7 +89,7 @@
 }
 
 impl Worker {
-    fn start(id: &str) -> Worker {
+    pub fn start(id: &str) -> Worker {
         let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
         let addr = socket.local_addr().expect("an address");
         let (sender, seen) = channel();
@@ -278,7 +278,11 @@
 
     /// A worker's call.
     pub fn news(&self, worker: usize, reference: &str, state: &str, more: &str) {
-        let id = &self.workers[worker].id;
+        self.tell(&self.workers[worker].id, reference, state, more);
+    }
+
+    /// The same by the worker's name.
+    pub fn tell(&self, id: &str, reference: &str, state: &str, more: &str) {
         let body = format!(r#"{{"id":"{reference}","from":"{id}","state":"{state}"{more}}}"#);
         let mut client = self.connect();
         client.send("POST /_jobs/news", "", &body);
--- a/dispatcher/tests/http.rs
+++ b/dispatcher/tests/http.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{folder, program, Rig, SETTINGS};
+use common::{folder, program, Rig, Worker, SETTINGS};
 use rstest::rstest;
 use std::time::Instant;
 
@@ -269,3 +269,27 @@
     let words = String::from_utf8_lossy(&out.stderr).into_owned();
     assert!(!out.status.success() && words.contains(named), "{words}");
 }
+
+/// From nginx blocks to an answer: the importer's settings start the program, without discovery.
+#[test]
+fn imported_nginx_blocks_route_jobs_to_their_upstream() {
+    let worker = Worker::start("charts");
+    let blocks = format!(
+        "upstream charts {{ server {}; }}\nlocation /charts/ {{ proxy_pass http://charts; }}",
+        worker.addr
+    );
+    let file = folder().join("site.conf");
+    std::fs::write(&file, blocks).expect("a file");
+    let out = program().arg("import-nginx").arg(&file).output().expect("it runs");
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    let operator = String::from_utf8(out.stdout).expect("text");
+    let rig = Rig::of(Vec::new(), SETTINGS, Some(&operator));
+    let mut client = rig.connect();
+    client.send("POST /charts/gse?days=5", "", "payload");
+    let seen = worker.next();
+    assert_eq!(seen.message.first, "POST /charts/gse?days=5 HTTP/1.1");
+    let id = seen.reference().to_owned();
+    seen.answer("202 Accepted");
+    rig.tell(&format!("charts-{}", worker.addr), &id, "done", DONE);
+    assert_eq!(client.answer().body, "a chart");
+}
--- /dev/null
+++ b/examples/toy.rs
@@ -0,0 +1,103 @@
+//! Toy peers to try lineroute with: a discovery at 127.0.0.1:8500, and two workers at 9101 and 9102 that take
+//! a job, work a while and tell the dispatcher at 127.0.0.1:9000. Run it by `cargo run --example toy`.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+const DISPATCHER: &str = "127.0.0.1:9000";
+const WORKERS: [(&str, u16, u64); 2] = [("toy-fast", 9101, 200), ("toy-slow", 9102, 400)];
+
+struct Request {
+    first: String,
+    headers: HashMap<String, String>,
+    body: String,
+}
+
+fn read(stream: &mut impl BufRead) -> Option<Request> {
+    let mut line = || {
+        let mut line = String::new();
+        (stream.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
+    };
+    let first = line()?;
+    let mut headers = HashMap::new();
+    while let Some((name, value)) = line()?.split_once(':') {
+        headers.insert(name.to_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(Request { first, headers, body: String::from_utf8_lossy(&body).into_owned() })
+}
+
+/// Serves every connection on a thread of its own; `answer` gives the status and the body.
+fn serve(
+    port: u16,
+    answer: impl Fn(Request) -> (&'static str, String) + Clone + Send + 'static,
+) -> io::Result<()> {
+    let socket = TcpListener::bind(("127.0.0.1", port))?;
+    thread::spawn(move || {
+        for stream in socket.incoming().flatten() {
+            let answer = answer.clone();
+            thread::spawn(move || -> io::Result<()> {
+                let (mut reader, mut stream) = (BufReader::new(stream.try_clone()?), stream);
+                while let Some(request) = read(&mut reader) {
+                    let (status, body) = answer(request);
+                    write!(stream, "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+                }
+                Ok(())
+            });
+        }
+    });
+    Ok(())
+}
+
+fn tell(id: &str, worker: &str, state: &str, result: &str) -> io::Result<()> {
+    let mut stream = TcpStream::connect(DISPATCHER)?;
+    let body = format!(r#"{{"id":"{id}","from":"{worker}","state":"{state}","result":"{result}"}}"#);
+    let length = body.len();
+    write!(
+        stream,
+        "POST /_jobs/news HTTP/1.1\r\nHost: {DISPATCHER}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )?;
+    read(&mut BufReader::new(stream)).map(drop).ok_or(io::ErrorKind::UnexpectedEof.into())
+}
+
+fn main() -> io::Result<()> {
+    for (name, port, ms) in WORKERS {
+        serve(port, move |request| {
+            println!("{name}: {}", request.first);
+            if !request.first.starts_with("POST ") {
+                return ("200 OK", String::new());
+            }
+            let id = request.headers.get("x-call-id").cloned().unwrap_or_default();
+            thread::spawn(move || -> io::Result<()> {
+                tell(&id, name, "started", "")?;
+                thread::sleep(Duration::from_millis(ms));
+                tell(&id, name, "done", &format!("{name} did {} bytes", request.body.len()))
+            });
+            ("202 Accepted", String::new())
+        })?;
+    }
+    let servers = WORKERS.map(|(name, port, _)| {
+        format!(
+            r#"{{"id":"{name}","addr":"127.0.0.1:{port}","zone":"here","kind":"toy","cell":0,"state":"up"}}"#
+        )
+    });
+    let list = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, servers.join(","));
+    serve(8500, move |request| {
+        // Nothing ever changes here: a watch waits out its time.
+        if request.first.contains("after=1") {
+            let wait = request.first.split("wait_ms=").nth(1).and_then(|w| w.split(' ').next()?.parse().ok());
+            thread::sleep(Duration::from_millis(wait.unwrap_or(0)));
+            return ("200 OK", r#"{"version":1,"full":false,"servers":[]}"#.into());
+        }
+        ("200 OK", list.clone())
+    })?;
+    println!("discovery and two workers are up; stop with ^C");
+    loop {
+        thread::park();
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -720,7 +720,7 @@
     /// How long an attempt may go without a sign. Later ones are given longer: the job may just be long.
     fn overdue_after(&self, id: &RequestId) -> Micros {
         let Some(job) = self.jobs.get(id) else { return Micros::MAX };
-        // Guards against calling back a job that is merely long: where it can't have a copy, its work is lost.
+        // Guards against calling back a job that is merely long: where it has no copy, its work is lost.
         let patience = if self.settings.allowed.parallel { OVERDUE } else { OVERDUE_ALONE };
         let usual = self.class_time[job.request.class.0] * patience * f64::from(job.attempts.max(1));
         usual.max(self.settings.progress as f64 * 1.25) as Micros
