Close idle connections to workers that have left; bound waits, watches and accepts

Seen in review: awc ends idle connections only when it calls the same address again (awc client/pool.rs, call), so each worker replaced by a deploy left some open for good. Checked: a test with a short keep-alive sees them stay open without the change. Ruled out: the pool's limit, which counts calls and not idle connections. Now a pool that is not used for the keep-alive time goes (targets/http.rs, Pools); a client watches 256 tubes at most; far over the bound connections wait unaccepted.

--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -316,7 +316,10 @@
                 self.used = tube;
                 Reply::Line(reply)
             }
-            Command::Watch(tube) => Reply::Line(format!("WATCHING {}", tubes.watch(client, tube))),
+            Command::Watch(tube) => match tubes.watch(client, tube) {
+                Some(count) => Reply::Line(format!("WATCHING {count}")),
+                None => line("OUT_OF_MEMORY"),
+            },
             Command::Ignore(tube) => match tubes.ignore(client, &tube) {
                 Some(count) => Reply::Line(format!("WATCHING {count}")),
                 None => line("NOT_IGNORED"),
--- a/dispatcher/src/listeners/beanstalkd/tubes.rs
+++ b/dispatcher/src/listeners/beanstalkd/tubes.rs
@@ -14,6 +14,8 @@
 
 /// Room that an open job keeps for its answer.
 const ANSWER_ROOM: usize = 64 << 10;
+/// Tubes that one client may watch.
+const MAX_WATCHED: usize = 256;
 /// Who holds a job that is due so soon is told of that in place of a new one.
 const SOON: Duration = Duration::from_secs(1);
 
@@ -292,13 +294,16 @@
         first.map(|(id, job)| (*id, job.body.clone()))
     }
 
-    /// Watches a tube too; how many are watched.
-    pub fn watch(&mut self, client: Client, tube: String) -> usize {
+    /// Watches a tube too; how many are watched. Nothing where they would be too many.
+    pub fn watch(&mut self, client: Client, tube: String) -> Option<usize> {
         let watched = self.watching.entry(client).or_default();
         if !watched.contains(&tube) {
+            if watched.len() >= MAX_WATCHED {
+                return None;
+            }
             watched.push(tube);
         }
-        watched.len()
+        Some(watched.len())
     }
 
     /// Watches a tube no longer; nothing where it is the last.
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -139,6 +139,11 @@
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
         loop {
+            // Over the bound answers end their connections. Far over it new ones wait unaccepted: descriptors
+            // are kept for the workers.
+            while self.phase.connections.get() >= self.most + self.most / 4 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
             let (stream, peer) = match socket.accept().await {
                 Ok(accepted) => accepted,
                 Err(e) => {
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -67,14 +67,54 @@
     }
 }
 
-/// One pool of connections for all that is called, bounded in calls at a time.
+/// A pool of connections for each address that is called, and a bound on calls at a time.
 #[derive(Clone)]
 pub struct HttpClient {
-    client: awc::Client,
+    pools: Rc<RefCell<Pools>>,
     calls: Rc<Cell<usize>>,
     most: usize,
 }
 
+/// awc ends the idle connections of an address only when it calls that address again. Guards against those to
+/// workers that have left, which would stay for good: a pool that is not used goes, with all it holds.
+struct Pools {
+    by: FxHashMap<SocketAddr, (awc::Client, Instant)>,
+    swept: Instant,
+    connect_within: Duration,
+    keepalive: Duration,
+    most: usize,
+}
+
+impl Pools {
+    fn client(&mut self, addr: SocketAddr) -> awc::Client {
+        let now = Instant::now();
+        if now.duration_since(self.swept) >= self.keepalive / 4 {
+            self.swept = now;
+            self.by.retain(|_, (_, used)| now.duration_since(*used) <= self.keepalive);
+        }
+        let entry = self.by.entry(addr).or_insert_with(|| {
+            // What awc would do by itself is named here: it gives up after 5 s, and follows redirects, which
+            // would make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
+            let connector = awc::Connector::new()
+                .timeout(self.connect_within)
+                .handshake_timeout(self.connect_within)
+                .conn_keep_alive(self.keepalive.mul_f64(IDLE_PART))
+                .conn_lifetime(Duration::from_secs(24 * 3600))
+                .disconnect_timeout(Duration::from_millis(200))
+                .limit(self.most + 1);
+            let client = awc::Client::builder()
+                .connector(connector)
+                .disable_timeout()
+                .disable_redirects()
+                .no_default_headers()
+                .finish();
+            (client, now)
+        });
+        entry.1 = now;
+        entry.0.clone()
+    }
+}
+
 struct Call(Rc<Cell<usize>>);
 
 impl Drop for Call {
@@ -85,22 +125,9 @@
 
 impl HttpClient {
     pub fn new(connect_within: Duration, keepalive: Duration, most: usize) -> Self {
-        // What awc would do by itself is named here: it gives up after 5 s, and follows redirects, which
-        // would make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
-        let connector = awc::Connector::new()
-            .timeout(connect_within)
-            .handshake_timeout(connect_within)
-            .conn_keep_alive(keepalive.mul_f64(IDLE_PART))
-            .conn_lifetime(Duration::from_secs(24 * 3600))
-            .disconnect_timeout(Duration::from_millis(200))
-            .limit(most + 1);
-        let client = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
-        HttpClient { client, calls: Rc::default(), most }
+        let (by, swept) = (FxHashMap::default(), Instant::now());
+        let pools = Pools { by, swept, connect_within, keepalive, most };
+        HttpClient { pools: Rc::new(RefCell::new(pools)), calls: Rc::default(), most }
     }
 
     pub async fn get(
@@ -131,7 +158,8 @@
         self.calls.set(self.calls.get() + 1);
         let _call = Call(self.calls.clone());
         let has_body = method == Method::POST;
-        let mut request = self.client.request(method, format!("http://{addr}{path}")).no_decompress();
+        let client = self.pools.borrow_mut().client(addr);
+        let mut request = client.request(method, format!("http://{addr}{path}")).no_decompress();
         for &(name, value) in headers {
             request = request.insert_header((name, value));
         }
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -86,6 +86,8 @@
     pub id: String,
     pub addr: SocketAddr,
     seen: Receiver<Seen>,
+    /// Connections that are open to it.
+    pub open: Arc<AtomicU32>,
 }
 
 impl Worker {
@@ -93,9 +95,12 @@
         let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
         let addr = socket.local_addr().expect("an address");
         let (sender, seen) = channel();
+        let open = Arc::new(AtomicU32::new(0));
+        let count = open.clone();
         thread::spawn(move || {
             for stream in socket.incoming().flatten() {
-                let sender = sender.clone();
+                let (sender, count) = (sender.clone(), count.clone());
+                count.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
                     let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
                     let mut stream = stream;
@@ -107,10 +112,11 @@
                         let Ok(answer) = answers.recv() else { return };
                         let _ = stream.write_all(answer.as_bytes());
                     }
+                    count.fetch_sub(1, Ordering::SeqCst);
                 });
             }
         });
-        Worker { id: id.into(), addr, seen }
+        Worker { id: id.into(), addr, seen, open }
     }
 
     /// The next request that comes here.
--- a/dispatcher/tests/http.rs
+++ b/dispatcher/tests/http.rs
@@ -4,6 +4,7 @@
 
 use common::{folder, program, Rig, Worker, SETTINGS};
 use rstest::rstest;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 const DONE: &str = r#","result":"a chart""#;
@@ -162,6 +163,28 @@
     assert!(clients.iter_mut().all(|c| c.answer().status() == 200));
 }
 
+/// The pool ends idle connections only when it uses them: those to workers that have left would pile up.
+#[test]
+fn idle_connections_to_a_worker_that_has_left_are_closed() {
+    let rig = Rig::with(2, &SETTINGS.replace(r#""keepalive_ms": 10000"#, r#""keepalive_ms": 100"#), None);
+    let mut clients: Vec<_> = (0..2).map(|i| rig.post(&format!("c{i}"), "quote", "")).collect();
+    (0..2).for_each(|w| rig.news(w, &rig.workers[w].take(), "done", DONE));
+    assert!(clients.iter_mut().all(|c| c.answer().status() == 200));
+    rig.list(&["removed", "up"]);
+    let until = Instant::now() + common::PATIENCE;
+    for i in 0.. {
+        if rig.workers[0].open.load(Ordering::SeqCst) == 0 {
+            break;
+        }
+        assert!(Instant::now() < until, "still open");
+        let id = format!("d{i}");
+        let mut client = rig.post(&id, "quote", "");
+        assert_eq!(rig.workers[1].take(), id);
+        rig.news(1, &id, "done", DONE);
+        assert_eq!(client.answer().status(), 200);
+    }
+}
+
 #[test]
 fn what_is_over_the_bound_is_refused_at_once_and_told_when_to_come_back() {
     let rig = Rig::with(1, &SETTINGS.replace(r#""most_held": 50"#, r#""most_held": 1"#), None);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! time in microseconds, and carries out the [`Action`]s that come back. The same events always
 //! give the same actions.
 //!
-//! The rule on the ordinary path is the inverse response time ratio scheduler: see `docs/design.md`.
+//! The rule on the ordinary path is the inverse response time ratio scheduler: per job type, a job goes to the
+//! worker whose own running count lags furthest behind its share, and shares are the inverse of measured
+//! response time. See `balance.rs`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
