SIGHUP reads the configuration again and goes over to the new discovery

Exit 129 is death by SIGHUP. Checked: main.rs waited for SIGTERM only, and no other file takes signals; the log of the node has no line of its own at that moment, so it was not an error of ours. list.rs kept the address of discovery as a value for good, waited up to 11 s on one call, and asked by the old version. At fault: main.rs (no SIGHUP), list.rs watch() (fixed address, 'after' of another discovery). GW_DISCOVERY would have kept the old address in a reload: there the file wins.

--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -199,17 +199,31 @@
     pub beanstalkd: Option<BeanstalkdFront>,
 }
 
+/// What the configuration is read for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Occasion {
+    Start,
+    /// The file has been replaced while the program runs.
+    Reload,
+}
+
 /// Reads `GW_CONFIG`, the variables beside it, which win over what it says, and the operator's file if any.
-pub fn read(variable: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Config, String> {
+/// In a reload the file's word on discovery wins: the variable is of the start, and can't follow a move.
+pub fn read(
+    variable: impl Fn(&str) -> Option<String>,
+    operator: Option<&str>,
+    occasion: Occasion,
+) -> Result<Config, String> {
     let path = variable("GW_CONFIG").ok_or("GW_CONFIG is not set")?;
     let mut raw: Raw = read_file(&path).map_err(|e| format!("GW_CONFIG: {e}"))?;
     let operator: Operator = match operator {
         Some(path) => read_file(path).map_err(|e| format!("operator's file: {e}"))?,
         None => Operator::default(),
     };
-    let address = |key: &str, given: Option<SocketAddr>, field: &str| match variable(key) {
-        Some(text) => text.parse().map_err(|e| format!("{key}: {text:?}: {e}")),
-        None => given.ok_or_else(|| format!("{key} is not set, and GW_CONFIG has no {field}")),
+    let address = |key: &str, given: Option<SocketAddr>, field: &str| match (variable(key), given) {
+        (_, Some(given)) if occasion == Occasion::Reload && field == "discovery" => Ok(given),
+        (Some(text), _) => text.parse().map_err(|e| format!("{key}: {text:?}: {e}")),
+        (None, given) => given.ok_or_else(|| format!("{key} is not set, and GW_CONFIG has no {field}")),
     };
     let listen = address("GW_LISTEN", raw.listen, "listen")?;
     let discovery = match operator.hosts.is_empty() {
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// How long a watch may wait for news. What discovery has to tell counts as told some time after that.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -98,26 +99,43 @@
     flows.list(kind, entries);
 }
 
-/// Watches discovery. Never ends.
+/// Watches discovery, wherever it stands now. Never ends.
 pub async fn watch(
     flows: Flows,
     client: HttpClient,
-    discovery: SocketAddr,
+    mut discovery: watch::Receiver<Option<SocketAddr>>,
     mut names: Names,
     known: Option<u64>,
 ) {
     let mut after = known;
+    let mut asked_at = *discovery.borrow_and_update();
     loop {
-        flows.watch_wanted().await;
+        // A move need not wait until the module wants the list again.
+        tokio::select! {
+            () = flows.watch_wanted() => {}
+            Ok(()) = discovery.changed() => {}
+        }
         // The first call is answered at once, so that the module knows where it stands; the next ones wait.
         let mut wait = Duration::ZERO;
         loop {
+            let at = *discovery.borrow_and_update();
+            if at != asked_at {
+                // Another discovery counts its versions by itself: the whole list is asked for.
+                (asked_at, after, wait) = (at, None, Duration::ZERO);
+            }
+            let Some(at) = at else { break };
             let path = match after {
                 Some(v) => format!("/discovery/hosts?after={v}&wait_ms={}", wait.as_millis()),
                 None => "/discovery/hosts".into(),
             };
             let asked = tokio::time::Instant::now();
-            match client.get(discovery, &path, wait + ANSWER_WITHIN, MAX_LIST_BYTES).await {
+            let answer = tokio::select! {
+                answer = client.get(at, &path, wait + ANSWER_WITHIN, MAX_LIST_BYTES) => answer,
+                // Guards against waiting on a discovery that has been replaced: what the new one has to tell
+                // counts as told soon.
+                Ok(()) = discovery.changed() => continue,
+            };
+            match answer {
                 Ok((200, body)) => match serde_json::from_slice::<HostList>(&body) {
                     Ok(list) => {
                         after = Some(list.version);
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -11,7 +11,7 @@
 mod nginx;
 mod targets;
 
-use config::Config;
+use config::{Config, Occasion};
 use facade::{Facade, ListKind};
 use flow::{Bounds, Flows};
 use list::Names;
@@ -20,13 +20,15 @@
 use log::log;
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use targets::beanstalkd::BeanstalkdTargets;
 use targets::http::{HttpClient, HttpTargets};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 
 /// After SIGTERM clients keep coming for a while: so long they are served.
 const KEEP_TAKING: Duration = Duration::from_millis(700);
@@ -58,8 +60,12 @@
 }
 
 fn start(operator: Option<&str>) -> Result<(), String> {
-    let config = config::read(|key| std::env::var(key).ok(), operator)?;
-    actix_rt::System::new().block_on(run(config))
+    let config = read(operator, Occasion::Start)?;
+    actix_rt::System::new().block_on(run(config, operator.map(str::to_owned)))
+}
+
+fn read(operator: Option<&str>, occasion: Occasion) -> Result<Config, String> {
+    config::read(|key| std::env::var(key).ok(), operator, occasion)
 }
 
 /// Writes the operator's settings that nginx blocks amount to.
@@ -71,7 +77,26 @@
     Ok(())
 }
 
-async fn run(config: Config) -> Result<(), String> {
+/// On each SIGHUP reads the configuration again and goes over to its discovery. What can't be used changes
+/// nothing. Never ends.
+async fn reload(mut hangup: Signal, operator: Option<String>, discovery: watch::Sender<Option<SocketAddr>>) {
+    while hangup.recv().await.is_some() {
+        match read(operator.as_deref(), Occasion::Reload) {
+            Ok(config) => {
+                log!("SIGHUP: the configuration was read again");
+                discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            }
+            Err(message) => log!("SIGHUP: the old settings stay: {message}"),
+        }
+    }
+}
+
+async fn run(config: Config, operator: Option<String>) -> Result<(), String> {
+    // First of all: a signal that nobody waits for ends the program.
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let (discovery, discovery_at) = watch::channel(config.discovery);
+    actix_rt::spawn(reload(hangup, operator, discovery));
     let Config { site, routes, known, .. } = config;
     let deadlines = site.settings.classes.iter().map(|c| Duration::from_micros(c.deadline));
     let words = Vocabulary {
@@ -95,7 +120,6 @@
     if let Some(known) = &known {
         list::take(&flows, &mut names, known, ListKind::Cached);
     }
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let socket = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     let prefix = format!("{}-{:x}", config.name, config.seed);
     let mut front = None;
@@ -114,7 +138,10 @@
     actix_rt::spawn(async move { clock.run_clock().await });
     let version = known.map(|k| k.version);
     match config.discovery {
-        Some(at) => drop(actix_rt::spawn(list::watch(flows.clone(), client, at, names, version))),
+        Some(_) => {
+            let watched = list::watch(flows.clone(), client, discovery_at, names, version);
+            drop(actix_rt::spawn(watched))
+        }
         None => drop(actix_rt::spawn(list::stand(flows.clone()))),
     }
     let phase = Rc::new(Phase::default());
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -221,15 +221,10 @@
         let list: Listing = Arc::new((Mutex::new((1, String::new(), 0)), Condvar::new()));
         let discovery = discovery(list.clone());
         let dir = folder();
-        let servers: Vec<String> = listed.iter().map(|w| entry(w, "up")).collect();
-        let config = format!(
-            r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f","settings":{settings},
-             "known":{{"version":1,"full":true,"servers":[{}]}}}}"#,
-            servers.join(",")
-        );
+        let config = config(&listed, discovery, settings);
         std::fs::write(dir.join("config.json"), config).expect("a file");
         let mut command = program();
-        command.env("GW_CONFIG", dir.join("config.json"));
+        command.env("GW_CONFIG", dir.join("config.json")).env("GW_DISCOVERY", discovery.to_string());
         if let Some(operator) = operator {
             std::fs::write(dir.join("operator.json"), operator).expect("a file");
             command.arg("--operator").arg(dir.join("operator.json"));
@@ -296,8 +291,26 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
+    }
+
+    /// Replaces the configuration by this text, and says so; what the program says.
+    pub fn reload(&self, config: &str) -> String {
+        std::fs::write(self.dir.join("config.json"), config).expect("a file");
+        self.signal("-HUP");
+        self.logged("SIGHUP")
+    }
+
+    /// Moves discovery to a new address, where versions begin anew and the workers are in the states given.
+    pub fn move_discovery(&mut self, states: &[&str]) {
+        self.list = Arc::new((Mutex::new((0, String::new(), 0)), Condvar::new()));
+        self.reload(&config(&self.listed, discovery(self.list.clone()), SETTINGS));
+        self.list(states);
     }
 
     /// Waits for the program to end by itself.
@@ -335,6 +348,15 @@
     }
 }
 
+fn config(listed: &[(String, SocketAddr)], discovery: SocketAddr, settings: &str) -> String {
+    let servers: Vec<String> = listed.iter().map(|w| entry(w, "up")).collect();
+    format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f","settings":{settings},
+         "known":{{"version":1,"full":true,"servers":[{}]}}}}"#,
+        servers.join(",")
+    )
+}
+
 fn entry((id, addr): &(String, SocketAddr), state: &str) -> String {
     format!(
         r#"{{"id":"{id}","addr":"{addr}","zone":"a","kind":"m","cell":0,"state":"{state}","started_ms":0}}"#
--- a/dispatcher/tests/http.rs
+++ b/dispatcher/tests/http.rs
@@ -260,6 +260,43 @@
     assert!(rig.ends().success());
 }
 
+/// SIGHUP ended the program. The variable of the start names the old discovery, and the versions of the new
+/// one lie under those that are known.
+#[test]
+fn sighup_goes_over_to_the_new_discovery_and_loses_no_flow() {
+    let mut rig = Rig::start(2);
+    rig.list(&["up", "up"]);
+    let mut before = rig.post("c1", "order", "");
+    let (first, seen) = rig.next();
+    seen.answer("202 Accepted");
+    rig.move_discovery(&["draining", "up"]);
+    for i in 0..4 {
+        let id = format!("d{i}");
+        let mut client = rig.post(&id, "quote", "");
+        assert_eq!(rig.workers[1].take(), id);
+        rig.news(1, &id, "done", DONE);
+        assert_eq!(client.answer().status(), 200);
+    }
+    rig.news(first, "c1", "done", DONE);
+    assert_eq!(before.answer().status(), 200);
+}
+
+#[rstest]
+#[case::no_json("{", "GW_CONFIG")]
+#[case::no_address(r#"{"settings": {}, "discovery": "there"}"#, "discovery")]
+#[case::a_setting(r#"{"listen":"127.0.0.1:0","settings": {"classes": [], "zone": "a"}}"#, "zone")]
+fn a_file_that_cant_be_used_leaves_the_old_settings_in_force(#[case] config: &str, #[case] key: &str) {
+    let mut rig = Rig::start(1);
+    let line = rig.reload(config);
+    assert!(line.contains("old settings") && line.contains(key), "{line}");
+    rig.list(&["up"]);
+    let mut client = rig.post("c1", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c1");
+    rig.news(0, "c1", "done", DONE);
+    assert_eq!(client.answer().status(), 200);
+    assert!(rig.is_running());
+}
+
 #[rstest]
 #[case(r#""rules": {"cold_from": 0}"#, "rules.cold_from")]
 #[case(r#""zone": "a""#, "zone")]
