Give each client connection a seat: silent, slow and idle ones give way to usual clients

Ruled out: CPU (0.06 s in the worst second), flow table, module (503 came in microseconds). On a socket: actix-http refuses both lengths, several, signed and bad chunks by itself; it ends an answered flow when garbage stands behind it, buffers 128 KiB a head, times only the first head, and answers an announced 60 MB after reading 64 KiB. At fault: listeners/http.rs serve() (15 s, 30 s and 120 s waits, excess left unaccepted) and job() (refusal by the number of connections, not of flows). Conclusion: connections are the scarce thing, and are now given to those who use them.

--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -280,7 +280,7 @@
         discovery,
         seed,
         memory,
-        inbound: free / 2,
+        inbound: free / 8 * 5,
         outbound: free / 4,
         known,
         site,
--- /dev/null
+++ b/dispatcher/src/listeners/guard.rs
@@ -0,0 +1,117 @@
+//! A client's connection as the HTTP server sees it. Guards memory: what the server would buffer without need
+//! stays in the kernel. Guards last words: they arrive although the other side is still sending.
+
+use super::seats::{Cut, Seat, Stage};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The longest head. The server itself would take 128 KiB from each connection.
+const MAX_HEAD: usize = 16 << 10;
+/// So much is read in one go, so that the server can pass it on before more comes, and others get their turn.
+const IN_ONE_GO: usize = 16 << 10;
+/// How long the other side may take to end a connection whose end it has been told.
+const LINGER: Duration = Duration::from_secs(1);
+/// What lingers is read slowly: it is thrown away, and must not take the core.
+const LINGER_PAUSE: Duration = Duration::from_millis(5);
+
+/// A connection, shared by the server and the task that ends it.
+#[derive(Clone)]
+pub struct Guarded {
+    stream: Rc<RefCell<TcpStream>>,
+    pub seat: Rc<Seat>,
+    /// Bytes of the head so far, and of this go.
+    head: Rc<Cell<usize>>,
+    go: Rc<Cell<usize>>,
+}
+
+impl Guarded {
+    pub fn new(stream: TcpStream, seat: Rc<Seat>) -> Self {
+        Guarded { stream: Rc::new(RefCell::new(stream)), seat, head: Rc::default(), go: Rc::default() }
+    }
+
+    fn poll<R>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> R) -> R {
+        act(Pin::new(&mut *self.stream.borrow_mut()))
+    }
+
+    /// Says the last words of one that was never answered, as far as they go out at once.
+    pub fn say(&self, words: &[u8]) {
+        let _ = self.stream.borrow_mut().try_write(words);
+    }
+
+    /// Ends the connection. Closed with bytes unread, it would be reset, and what was said last be lost.
+    pub async fn end(mut self) {
+        self.seat.set(Stage::Ending);
+        let drained = async {
+            let mut waste = [0; 4096];
+            self.shutdown().await?;
+            while self.read(&mut waste).await? > 0 {
+                if self.go.get() >= IN_ONE_GO {
+                    self.go.set(0);
+                    tokio::time::sleep(LINGER_PAUSE).await;
+                }
+            }
+            io::Result::Ok(())
+        };
+        let _ = tokio::time::timeout(LINGER, drained).await;
+    }
+}
+
+impl AsyncRead for Guarded {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let seat = &self.seat;
+        if seat.stage() == Stage::InWork {
+            // What comes behind a request in hand waits in the kernel. Only the end is looked out for.
+            let mut byte = [0];
+            let mut byte = ReadBuf::new(&mut byte);
+            match ready!(self.poll(|s| s.poll_peek(cx, &mut byte))) {
+                Ok(0) | Err(_) => seat.cut(Cut::Away),
+                Ok(_) => seat.park(cx.waker()),
+            }
+            return Poll::Pending;
+        }
+        if self.go.get() >= IN_ONE_GO && seat.stage() != Stage::Ending {
+            self.go.set(0);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        // Between two goes the server has looked at what there is: it is no whole head.
+        if self.go.get() == 0 && seat.stage() == Stage::Head && self.head.get() >= MAX_HEAD {
+            seat.cut(Cut::TooLong);
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let read = self.poll(|s| s.poll_read(cx, buf));
+        if read.is_pending() {
+            self.go.set(0);
+        }
+        ready!(read)?;
+        let count = buf.filled().len() - before;
+        self.go.set(self.go.get() + count);
+        if count > 0 {
+            let before = if seat.stage() == Stage::Head { self.head.get() } else { 0 };
+            self.head.set(before + count);
+            seat.heard();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Guarded {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll(|s| s.poll_write(cx, buf))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll(|s| s.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll(|s| s.poll_shutdown(cx))
+    }
+}
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -1,6 +1,8 @@
 //! The platform's front: jobs by `POST`, each on a connection that waits for its answer; the workers' calls;
 //! and `/up`. Thin: what a header means is settled here, everything else in the core.
 
+use super::guard::Guarded;
+use super::seats::{Cut, Seat, Seats, Stage, WHOLE_WITHIN};
 use crate::config::Route;
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener, NotTaken};
@@ -17,21 +19,22 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
 
 /// A body holds so much at most.
 pub const MAX_BODY: usize = 64 << 10;
-/// How long a client may take to send a head, and how long for a body. Links may be poor.
-const HEAD_WITHIN: Duration = Duration::from_secs(15);
-const BODY_WITHIN: Duration = Duration::from_secs(30);
 /// Idle connections of clients are kept so long.
 const KEEP_ALIVE: Duration = Duration::from_secs(120);
-/// How long a client may take to close a connection that is being closed.
-const DISCONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// What a client is told that this dispatcher can't take on: others may have room at once.
 const BUSY_RETRY: Duration = Duration::from_millis(250);
 const LONGEST_ID: usize = 128;
+/// What is said to those whom the server never came to speak with.
+const NO_SEAT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\n\
+    Content-Length: 0\r\n\r\n";
+const LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+const TOO_LONG: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// A class or tenant as the settings name it, and a class's own deadline.
 pub struct Vocabulary {
@@ -56,7 +59,6 @@
     closing: Cell<bool>,
     /// New jobs are refused.
     shut: Cell<bool>,
-    pub connections: Cell<usize>,
     idle: Notify,
 }
 
@@ -88,8 +90,7 @@
     pub words: Rc<Vocabulary>,
     pub routes: Vec<Route>,
     pub phase: Rc<Phase>,
-    /// Connections at a time.
-    pub most: usize,
+    pub seats: Rc<Seats>,
     /// Begins the ids of jobs that came without one; how many have.
     pub prefix: String,
     pub made: Cell<u64>,
@@ -128,22 +129,20 @@
             let this = this.clone();
             async move { Ok::<_, Infallible>(this.handle(request).await) }
         };
-        let factory = HttpService::<TcpStream, _, _>::build()
+        let factory = HttpService::<Guarded, _, _>::build()
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-            .client_request_timeout(HEAD_WITHIN)
-            .client_disconnect_timeout(DISCONNECT_WITHIN)
-            // An end of input is a client that has gone: its task is dropped, and its claim tells the core.
-            .h1_allow_half_closed(false)
+            // Both are the seats' and the guard's.
+            .client_request_timeout(Duration::ZERO)
+            .client_disconnect_timeout(Duration::ZERO)
+            // What can't be read behind a request in hand must not end that one: the guard sees clients go.
+            .h1_allow_half_closed(true)
+            .on_connect_ext(|io: &Guarded, data| drop(data.insert(io.seat.clone())))
             .graceful_shutdown_signal(move || phase.clone().until_shut())
             .h1(actix_service::fn_service(service).into_factory());
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
+        actix_rt::spawn(self.seats.clone().watch());
         loop {
-            // Over the bound answers end their connections. Far over it new ones wait unaccepted: descriptors
-            // are kept for the workers.
-            while self.phase.connections.get() >= self.most + self.most / 4 {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
             let (stream, peer) = match socket.accept().await {
                 Ok(accepted) => accepted,
                 Err(e) => {
@@ -154,36 +153,58 @@
                 }
             };
             let _ = stream.set_nodelay(true);
-            let (service, phase) = (service.clone(), self.phase.clone());
-            phase.connections.set(phase.connections.get() + 1);
+            let Some(taken) = self.seats.take() else {
+                // All seats are in work. Nothing was taken, so nothing is lost.
+                let _ = stream.try_write(NO_SEAT);
+                continue;
+            };
+            let service = service.clone();
             actix_rt::spawn(async move {
-                // Errors here are those of the peer: it went, or what it sent was no HTTP.
-                let _ = service.call((stream, Some(peer))).await;
-                phase.connections.set(phase.connections.get() - 1);
+                let guarded = Guarded::new(stream, taken.seat.clone());
+                let cut = tokio::select! {
+                    cut = taken.seat.until_cut() => Some(cut),
+                    // Errors here are those of the peer: it went, or what it sent was no HTTP.
+                    _ = service.call((guarded.clone(), Some(peer))) => None,
+                };
+                match cut {
+                    Some(Cut::Away) => return,
+                    Some(Cut::Late) if !taken.seat.was_answered() => guarded.say(LATE),
+                    Some(Cut::TooLong) if !taken.seat.was_answered() => guarded.say(TOO_LONG),
+                    Some(_) | None => {}
+                }
+                guarded.end().await;
             });
+            // One that gave way ends before the next comes: guards the bound on descriptors.
+            tokio::task::yield_now().await;
         }
     }
 
     async fn handle(&self, request: Request) -> Response<Bytes> {
-        let mut response = self.respond(request).await;
-        if self.phase.closing.get() || self.phase.connections.get() > self.most {
+        let seat = request.conn_data::<Rc<Seat>>().cloned();
+        let mut response = self.respond(request, seat.as_deref()).await;
+        if let Some(seat) = seat {
+            seat.set(Stage::Idle);
+        }
+        if self.phase.closing.get() {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         response
     }
 
-    async fn respond(&self, mut request: Request) -> Response<Bytes> {
+    async fn respond(&self, mut request: Request, seat: Option<&Seat>) -> Response<Bytes> {
         let (get, post) = (request.method() == Method::GET, request.method() == Method::POST);
         let path = request.path().to_owned();
         match path.as_str() {
             "/up" if get && !self.phase.closing.get() => plain(StatusCode::OK, "up\n"),
             "/up" if get => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
-            "/_jobs/news" if post => match body(&mut request).await {
+            "/_jobs/news" if post => match body(&mut request, seat).await {
                 Err(status) => plain(status, "no body could be read\n"),
                 Ok(body) => match serde_json::from_slice::<JobNews>(&body) {
                     Err(_) => plain(StatusCode::BAD_REQUEST, "not a worker's call\n"),
                     Ok(news) => {
-                        self.targets.news(news);
+                        if self.targets.news(news) {
+                            seat.into_iter().for_each(Seat::is_workers);
+                        }
                         plain(StatusCode::OK, "")
                     }
                 },
@@ -192,22 +213,22 @@
             path => match Route::find(&self.routes, path) {
                 None => plain(StatusCode::NOT_FOUND, "no such path\n"),
                 Some(_) if !post => plain(StatusCode::METHOD_NOT_ALLOWED, "jobs come by POST\n"),
-                Some(route) => self.job(request, route).await,
+                Some(route) => self.job(request, route, seat).await,
             },
         }
     }
 
-    async fn job(&self, mut request: Request, route: &Route) -> Response<Bytes> {
+    async fn job(&self, mut request: Request, route: &Route, seat: Option<&Seat>) -> Response<Bytes> {
         let (mut job, budget) = match self.read_head(&request, route) {
             Ok(read) => read,
             Err(reason) => return plain(StatusCode::BAD_REQUEST, reason),
         };
         let arriving = tokio::time::Instant::now();
-        job.body = match body(&mut request).await {
+        job.body = match body(&mut request, seat).await {
             Ok(body) => body,
             Err(status) => return plain(status, "no body could be read\n"),
         };
-        if self.phase.shut.get() || self.phase.connections.get() > self.most {
+        if self.phase.shut.get() {
             return refused(BUSY_RETRY);
         }
         let budget = budget.saturating_sub(arriving.elapsed());
@@ -280,7 +301,14 @@
     value.to_str().map(Some).map_err(|_| "a header is not plain text\n")
 }
 
-async fn body(request: &mut Request) -> Result<Bytes, StatusCode> {
+/// Reads the body; from here on the request is in hand. One that is said to be too long is not read at all.
+async fn body(request: &mut Request, seat: Option<&Seat>) -> Result<Bytes, StatusCode> {
+    let length =
+        request.headers().get(header::CONTENT_LENGTH).and_then(|l| l.to_str().ok()?.trim().parse().ok());
+    if length.is_some_and(|l: u64| l > MAX_BODY as u64) {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    seat.into_iter().for_each(|s| s.set(Stage::Body));
     let mut payload = request.take_payload();
     let read = async {
         let mut body = BytesMut::new();
@@ -293,7 +321,11 @@
         }
         Ok(body.freeze())
     };
-    tokio::time::timeout(BODY_WITHIN, read).await.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+    let by = seat.map_or_else(|| std::time::Instant::now() + WHOLE_WITHIN, Seat::whole_by);
+    let read = tokio::time::timeout_at(by.into(), read).await;
+    let body = read.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))?;
+    seat.into_iter().for_each(|s| s.set(Stage::InWork));
+    Ok(body)
 }
 
 fn respond(status: StatusCode, body: Bytes, retry_after: Option<Duration>) -> Response<Bytes> {
--- a/dispatcher/src/listeners/mod.rs
+++ b/dispatcher/src/listeners/mod.rs
@@ -1,4 +1,6 @@
 //! The clients' side, a module for each protocol that clients speak.
 
 pub mod beanstalkd;
+mod guard;
 pub mod http;
+pub mod seats;
--- /dev/null
+++ b/dispatcher/src/listeners/seats.rs
@@ -0,0 +1,225 @@
+//! Connections of clients, whatever they speak: each has a seat. Guards usual clients against those that
+//! connect and say nothing, say it slowly, or never leave: a request must be whole in time, and when all seats
+//! are taken, the one that is of least use gives way to the newcomer.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::task::Waker;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// How long a new connection may say nothing. It is not one that idles between requests.
+pub const FIRST_WORD_WITHIN: Duration = Duration::from_millis(2000);
+/// How long a request may take from its first byte to its last; the first one, from the connection's start.
+pub const WHOLE_WITHIN: Duration = Duration::from_millis(2500);
+/// A usual client's first word is on its way this long at most: a silent seat older than that gives way first.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
+/// Between two looks at who is late.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    /// Nothing has come yet.
+    Silent,
+    /// The words of a request are coming; or its body, which is timed where it is read.
+    Head,
+    Body,
+    /// A request is in hand: its client is owed an answer.
+    InWork,
+    /// Between requests.
+    Idle,
+    /// Its end has been said; the last words are on their way.
+    Ending,
+}
+
+/// Why a connection is cut from outside.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Cut {
+    /// Its seat is needed, or the other side has gone.
+    Away,
+    /// A request took too long, or too many words.
+    Late,
+    TooLong,
+}
+
+/// One connection, as its seat knows it.
+pub struct Seat {
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    /// A worker's calls come on it: it goes last.
+    worker: Cell<bool>,
+    /// An answer was given on it.
+    answered: Cell<bool>,
+    cut: Cell<Option<Cut>>,
+    changed: Notify,
+    /// Who waits to read on until the request in hand is answered.
+    reader: Cell<Option<Waker>>,
+}
+
+impl Seat {
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    pub fn set(&self, stage: Stage) {
+        let was = self.stage.replace(stage);
+        // A request's time runs from its first byte, the first one's from the start.
+        if !matches!((was, stage), (Stage::Silent, Stage::Head) | (Stage::Head, Stage::Body)) {
+            self.since.set(Instant::now());
+        }
+        self.answered.set(self.answered.get() || stage == Stage::Idle);
+        if let Some(reader) = self.reader.take().filter(|_| stage != Stage::InWork) {
+            reader.wake();
+        }
+    }
+
+    /// Something was read.
+    pub fn heard(&self) {
+        if matches!(self.stage.get(), Stage::Silent | Stage::Idle) {
+            self.set(Stage::Head);
+        }
+    }
+
+    pub fn park(&self, reader: &Waker) {
+        self.reader.set(Some(reader.clone()));
+    }
+
+    pub fn is_workers(&self) {
+        self.worker.set(true);
+    }
+
+    pub fn was_answered(&self) -> bool {
+        self.answered.get()
+    }
+
+    /// When the request that is coming must be whole.
+    pub fn whole_by(&self) -> Instant {
+        self.since.get() + WHOLE_WITHIN
+    }
+
+    pub fn cut(&self, cut: Cut) {
+        self.cut.set(Some(self.cut.get().unwrap_or(cut)));
+        self.changed.notify_one();
+    }
+
+    /// Resolves when the connection is to end at once.
+    pub async fn until_cut(&self) -> Cut {
+        loop {
+            if let Some(cut) = self.cut.get() {
+                return cut;
+            }
+            self.changed.notified().await;
+        }
+    }
+
+    /// How soon it gives way, from the smallest up, and for how long it has been so. `None`: it does not.
+    fn gives_way(&self, now: Instant) -> Option<(u8, Instant)> {
+        let since = self.since.get();
+        let old = now.saturating_duration_since(since) > ON_ITS_WAY;
+        let rank = match self.stage.get() {
+            _ if self.cut.get().is_some() => return None,
+            Stage::Ending => 0,
+            Stage::Silent if old => 1,
+            Stage::Head | Stage::Body if old => 2,
+            Stage::Idle => 3,
+            Stage::Silent => 4,
+            Stage::Head | Stage::Body | Stage::InWork => return None,
+        };
+        Some((rank + if self.worker.get() { 8 } else { 0 }, since))
+    }
+}
+
+/// All seats of a listener.
+pub struct Seats {
+    most: usize,
+    taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    next: Cell<u64>,
+}
+
+/// A seat that is free again when this is dropped.
+pub struct Taken {
+    seats: Rc<Seats>,
+    number: u64,
+    pub seat: Rc<Seat>,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.seats.taken.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Seats {
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Seats { most, taken: RefCell::default(), next: Cell::new(0) })
+    }
+
+    /// How many are taken.
+    pub fn count(&self) -> usize {
+        self.taken.borrow().len()
+    }
+
+    /// A seat for a new connection. When all are taken another one gives way; `None`: all are in work.
+    pub fn take(self: &Rc<Self>) -> Option<Taken> {
+        let now = Instant::now();
+        let seat = Rc::new(Seat {
+            stage: Cell::new(Stage::Silent),
+            since: Cell::new(now),
+            worker: Cell::new(false),
+            answered: Cell::new(false),
+            cut: Cell::new(None),
+            changed: Notify::new(),
+            reader: Cell::new(None),
+        });
+        let mut taken = self.taken.borrow_mut();
+        // Those that were cut and have not ended yet leave in a moment.
+        if taken.values().filter(|s| s.cut.get() != Some(Cut::Away)).count() >= self.most {
+            let first = taken.values().filter_map(|s| Some((s.gives_way(now)?, s))).min_by_key(|s| s.0);
+            first?.1.cut(Cut::Away);
+        }
+        let number = self.next.replace(self.next.get() + 1);
+        taken.insert(number, seat.clone());
+        Some(Taken { seats: self.clone(), number, seat })
+    }
+
+    /// Ends what takes too long. Never ends itself.
+    pub async fn watch(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP_EVERY).await;
+            let now = Instant::now();
+            for seat in self.taken.borrow().values() {
+                let within = match seat.stage.get() {
+                    Stage::Silent => FIRST_WORD_WITHIN,
+                    Stage::Head => WHOLE_WITHIN,
+                    _ => continue,
+                };
+                if now.saturating_duration_since(seat.since.get()) >= within {
+                    seat.cut(if seat.stage.get() == Stage::Silent { Cut::Away } else { Cut::Late });
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Full of connections that will not leave: a newcomer still gets a seat, and nobody in work loses his.
+    #[test]
+    fn idle_seats_give_way_oldest_first_and_those_in_work_never() {
+        let seats = Seats::new(3);
+        let taken: Vec<_> = (0..3).filter_map(|_| seats.take()).collect();
+        taken[0].seat.set(Stage::InWork);
+        taken[1].seat.set(Stage::Idle);
+        taken[2].seat.set(Stage::Idle);
+        let newcomer = seats.take().expect("a seat");
+        assert_eq!(taken[1].seat.cut.get(), Some(Cut::Away));
+        assert_eq!([&taken[0], &taken[2], &newcomer].map(|t| t.seat.cut.get()), [None; 3]);
+        newcomer.seat.set(Stage::InWork);
+        taken[2].seat.set(Stage::InWork);
+        assert!(seats.take().is_none());
+    }
+}
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -17,6 +17,7 @@
 use list::Names;
 use listeners::beanstalkd::BeanstalkdListener;
 use listeners::http::{HttpListener, Phase, Vocabulary};
+use listeners::seats::Seats;
 use log::log;
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
@@ -145,13 +146,14 @@
         None => drop(actix_rt::spawn(list::stand(flows.clone()))),
     }
     let phase = Rc::new(Phase::default());
+    let seats = Seats::new(config.inbound);
     let listener = HttpListener {
         flows: flows.clone(),
         targets,
         words: Rc::new(words),
         routes,
         phase: phase.clone(),
-        most: config.inbound,
+        seats: seats.clone(),
         prefix,
         made: Cell::new(0),
     };
@@ -171,7 +173,7 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let last = tokio::time::Instant::now() + LAST_WORDS;
-    while phase.connections.get() > 0 && tokio::time::Instant::now() < last {
+    while seats.count() > 0 && tokio::time::Instant::now() < last {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     Ok(())
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -220,27 +220,34 @@
     }
 
     /// Takes a worker's call. It may come before the 202, again, or of an attempt that is over: only what
-    /// the worker tells of the attempt that it now has is taken up.
-    pub fn news(&self, news: JobNews) {
+    /// the worker tells of the attempt that it now has is taken up. Whether it was a worker's.
+    pub fn news(&self, news: JobNews) -> bool {
         let ticket = {
             let out = self.out.borrow();
             out.get(&news.id).filter(|o| *o.worker == *news.from).map(|o| o.ticket)
         };
-        let Some(ticket) = ticket else { return };
+        let Some(ticket) = ticket else { return false };
         let end = match news.state.as_str() {
-            "started" => return self.flows.begun(ticket),
-            "running" => return self.flows.progress(ticket, news.share.unwrap_or(0.0)),
+            "started" => {
+                self.flows.begun(ticket);
+                return true;
+            }
+            "running" => {
+                self.flows.progress(ticket, news.share.unwrap_or(0.0));
+                return true;
+            }
             "done" => Outcome::Served,
             "failed" => Outcome::Fault,
             "returned" => Outcome::NoRoom,
             "lost" => Outcome::Cut,
-            _ => return,
+            _ => return true,
         };
         let result = news.result.map(|r| match r {
             serde_json::Value::String(text) => Bytes::from(text),
             other => Bytes::from(other.to_string()),
         });
         self.end(&news.id, ticket, end, result);
+        true
     }
 
     /// Ends a forward here and in the core, unless it has ended already.
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -352,6 +352,7 @@
     let servers: Vec<String> = listed.iter().map(|w| entry(w, "up")).collect();
     format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f","settings":{settings},
+         "limits":{{"memory_mb":32,"sockets":256}},
          "known":{{"version":1,"full":true,"servers":[{}]}}}}"#,
         servers.join(",")
     )
--- /dev/null
+++ b/dispatcher/tests/rude.rs
@@ -0,0 +1,134 @@
+//! Clients that send what can't be read, too much, too little, or nothing. Each is owed an error or a close
+//! within 3 s, while usual clients are served.
+
+mod common;
+
+use common::{Client, Rig};
+use rstest::rstest;
+use std::time::{Duration, Instant};
+
+const DONE: &str = r#","result":"a chart""#;
+const OWED: Duration = Duration::from_secs(3);
+
+fn head(more: &str) -> String {
+    let own = "X-Call-Id: bad\r\nX-Call-Class: quote\r\nX-Caller: acme\r\n";
+    format!("POST /api HTTP/1.1\r\nHost: app.svc\r\n{own}{more}")
+}
+
+/// A usual client, served.
+fn serve(rig: &Rig, client: &mut Client, id: &str) {
+    client.post(id, "quote", "");
+    assert_eq!(rig.workers[0].take(), id);
+    rig.news(0, id, "done", DONE);
+    assert_eq!(client.answer().status(), 200);
+}
+
+/// Behind each stands what would be a second request to whoever reads the first one otherwise.
+#[rstest]
+#[case::both_lengths("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400)]
+#[case::both_the_other_way("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", 400)]
+#[case::several_lengths("Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", 400)]
+#[case::the_same_twice("Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello", 400)]
+#[case::two_in_one("Content-Length: 5, 5\r\n\r\nhello", 400)]
+#[case::signed("Content-Length: +5\r\n\r\nhello", 400)]
+#[case::negative("Content-Length: -5\r\n\r\nhello", 400)]
+#[case::huge("Content-Length: 99999999999999999999\r\n\r\nhello", 400)]
+#[case::large("Content-Length: 60000000\r\n\r\nhello", 413)]
+#[case::chunks_that_are_none("Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n", 400)]
+#[case::an_unknown_coding("Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400)]
+#[case::a_space_before_the_colon("Content-Length : 5\r\n\r\nhello", 400)]
+fn what_cant_be_read_gets_an_error_and_a_close(#[case] rest: &str, #[case] status: u16) {
+    let mut rig = Rig::start(1);
+    let mut client = rig.connect();
+    client.write(head(rest).as_bytes());
+    client.write(head("Content-Length: 0\r\n\r\n").replace("bad", "hidden").as_bytes());
+    assert_eq!(client.answer().status(), status);
+    assert!(client.is_ended());
+    assert!(rig.workers[0].has_none() && rig.is_running());
+}
+
+/// Closed with bytes unread, a connection is reset, and the answer is lost on its way.
+#[rstest]
+#[case::an_endless_head("X-More: ", 431)]
+#[case::an_endless_body("Content-Length: 60000000\r\n\r\n", 413)]
+#[case::endless_chunks("Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", 413)]
+#[case::no_class_and_a_body("X-Call-Class: unheard\r\nContent-Length: 60000\r\n\r\n", 400)]
+fn an_early_answer_reaches_a_client_that_goes_on_sending(#[case] rest: &str, #[case] status: u16) {
+    let rig = Rig::start(1);
+    let mut client = rig.connect();
+    let text = match status {
+        400 => head(rest).replace("X-Call-Class: quote\r\n", ""),
+        _ => head(rest),
+    };
+    client.write(text.as_bytes());
+    // Some of this finds the connection ended.
+    (0..64).for_each(|_| client.write(&[b'x'; 16 << 10]));
+    assert_eq!(client.answer().status(), status);
+    serve(&rig, &mut rig.connect(), "c1");
+}
+
+/// What stands behind a request that is in hand must neither end it nor be passed on.
+#[test]
+fn garbage_behind_a_request_waits_for_its_answer() {
+    let rig = Rig::start(1);
+    let mut client = rig.post("c1", "quote", "");
+    client.write(b"no http at all\r\n\r\n");
+    assert_eq!(rig.workers[0].take(), "c1");
+    rig.news(0, "c1", "done", DONE);
+    assert_eq!(client.answer().status(), 200);
+    assert_eq!(client.answer().status(), 400);
+    assert!(client.is_ended());
+}
+
+#[test]
+fn requests_sent_in_one_go_are_answered_in_their_order() {
+    let rig = Rig::start(1);
+    let mut client = rig.connect();
+    (0..40).for_each(|_| client.post("c/1", "quote", ""));
+    client.post("c2", "quote", "");
+    assert!((0..40).all(|_| client.answer().status() == 400));
+    assert_eq!(rig.workers[0].take(), "c2");
+    rig.news(0, "c2", "done", DONE);
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[rstest]
+#[case::nothing("", None)]
+#[case::half_a_head("POST /api HTTP/1.1\r\nHost: a\r\nX-Call", Some(408))]
+#[case::half_a_body(&head("Content-Length: 5\r\n\r\nhe"), Some(408))]
+#[case::half_a_call("POST /_jobs/news HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhe", Some(408))]
+fn what_does_not_come_is_not_waited_for(#[case] part: &str, #[case] status: Option<u16>) {
+    let rig = Rig::start(1);
+    let start = Instant::now();
+    let mut client = rig.connect();
+    client.write(part.as_bytes());
+    if let Some(status) = status {
+        assert_eq!(client.answer().status(), status);
+    }
+    assert!(client.is_ended());
+    assert!(start.elapsed() < OWED, "{:?}", start.elapsed());
+}
+
+/// Seen: connections that said nothing, or asked once and stayed, took all there were, and nearly all usual
+/// requests were refused.
+#[test]
+fn a_crowd_that_stays_does_not_keep_usual_clients_out() {
+    let rig = Rig::start(1);
+    let mut usual = rig.connect();
+    serve(&rig, &mut usual, "c0");
+    let mut working = rig.post("c1", "quote", "");
+    assert_eq!(rig.workers[0].take(), "c1");
+    let _stay: Vec<_> = (0..130)
+        .map(|_| {
+            let mut client = rig.connect();
+            client.send("GET /up", "", "");
+            assert_eq!(client.answer().status(), 200);
+            client
+        })
+        .collect();
+    let _silent: Vec<_> = (0..130).map(|_| rig.connect()).collect();
+    serve(&rig, &mut rig.connect(), "c2");
+    // Whoever is owed an answer keeps his connection.
+    rig.news(0, "c1", "done", DONE);
+    assert_eq!(working.answer().status(), 200);
+}
