Give beanstalkd clients seats too: idle and slow connections give way to new ones

Seen: with max_connections open and silent, every further client was closed at once; half a command or half a body held its connection for good. At fault: listeners/beanstalkd serve() (newcomers closed) and run() (no limit on a command). Those that wait in reserve or hold a job never give way; a newcomer is then closed as before.

--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -9,6 +9,7 @@
 use crate::config::BeanstalkdFront;
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener};
+use crate::listeners::seats::{Seat, Seats, Stage};
 use crate::log::log;
 use bytes::Bytes;
 use command::Command;
@@ -34,7 +35,7 @@
     /// Something became ready, or was taken.
     changed: Notify,
     stopping: Cell<bool>,
-    connections: Cell<usize>,
+    seats: Rc<Seats>,
     /// Makes references that no other dispatcher, and no earlier life of this one, has used.
     prefix: String,
 }
@@ -55,13 +56,14 @@
 impl BeanstalkdListener {
     pub fn new(flows: Flows, settings: BeanstalkdFront, prefix: String) -> Rc<Self> {
         let tubes = Tubes::new(settings.max_jobs, settings.max_bytes);
+        let seats = Seats::new(settings.max_connections);
         Rc::new(BeanstalkdListener {
             flows,
             settings,
+            seats,
             tubes: RefCell::new(tubes),
             changed: Notify::new(),
             stopping: Cell::new(false),
-            connections: Cell::new(0),
             prefix,
         })
     }
@@ -78,6 +80,7 @@
 
     /// Accepts and serves connections. Never ends.
     pub async fn serve(self: Rc<Self>, socket: TcpListener) {
+        actix_rt::spawn(self.seats.clone().watch());
         loop {
             let stream = match socket.accept().await {
                 Ok((stream, _)) => stream,
@@ -87,22 +90,27 @@
                     continue;
                 }
             };
-            if self.connections.get() >= self.settings.max_connections {
-                log!("beanstalkd: {} connections are open: one more was closed", self.connections.get());
+            let Some(taken) = self.seats.take() else {
+                log!("beanstalkd: {} connections are in use: one more was closed", self.seats.count());
                 continue;
-            }
+            };
+            // Clients of this protocol may connect long before they have anything to say.
+            taken.seat.set(Stage::Idle);
             let _ = stream.set_nodelay(true);
-            self.connections.set(self.connections.get() + 1);
             let front = self.clone();
             actix_rt::spawn(async move {
                 let client = front.tubes.borrow_mut().connect();
-                let connection = Connection::new(front.clone(), client, stream);
-                // Errors here are those of the peer.
-                let _ = connection.run().await;
+                let connection = Connection::new(front.clone(), client, stream, taken.seat.clone());
+                tokio::select! {
+                    _ = taken.seat.until_cut() => {}
+                    // Errors here are those of the peer.
+                    _ = connection.run() => {}
+                }
                 front.tubes.borrow_mut().disconnect(client, Instant::now());
-                front.connections.set(front.connections.get() - 1);
                 front.changed.notify_waiters();
             });
+            // One that gave way ends before the next comes: guards the bound on descriptors.
+            tokio::task::yield_now().await;
         }
     }
 
@@ -195,16 +203,27 @@
     input: BufReader<OwnedReadHalf>,
     output: OwnedWriteHalf,
     used: String,
+    seat: Rc<Seat>,
 }
 
 impl Connection {
-    fn new(front: Rc<BeanstalkdListener>, client: Client, stream: TcpStream) -> Self {
+    fn new(front: Rc<BeanstalkdListener>, client: Client, stream: TcpStream, seat: Rc<Seat>) -> Self {
         let (input, output) = stream.into_split();
-        Connection { front, client, input: BufReader::new(input), output, used: "default".into() }
+        Connection { front, client, input: BufReader::new(input), output, used: "default".into(), seat }
+    }
+
+    /// Waits for a command to begin. From there it has so long to come whole and for its reply to be read.
+    /// Whoever holds a job does not give way.
+    async fn hears(&mut self) -> io::Result<bool> {
+        let holds = self.front.tubes.borrow().holds(self.client);
+        self.seat.set(if holds { Stage::InWork } else { Stage::Idle });
+        let more = !self.input.fill_buf().await?.is_empty();
+        self.seat.set(Stage::Head);
+        Ok(more)
     }
 
     async fn run(mut self) -> io::Result<()> {
-        loop {
+        while self.hears().await? {
             let line = match read_line(&mut self.input).await? {
                 Line::Text(line) => line,
                 Line::Bad => {
@@ -228,14 +247,19 @@
                         }
                     }
                 }
-                Ok(Command::Reserve { within }) => match self.reserve(within).await? {
-                    None => return Ok(()),
-                    Some(Reserved::Job(id, body)) => {
-                        self.job("RESERVED", id, &body).await?;
-                        continue;
+                Ok(Command::Reserve { within }) => {
+                    self.seat.set(Stage::InWork);
+                    let reserved = self.reserve(within).await?;
+                    self.seat.set(Stage::Head);
+                    match reserved {
+                        None => return Ok(()),
+                        Some(Reserved::Job(id, body)) => {
+                            self.job("RESERVED", id, &body).await?;
+                            continue;
+                        }
+                        Some(Reserved::Word(word)) => word.into(),
                     }
-                    Some(Reserved::Word(word)) => word.into(),
-                },
+                }
                 Ok(command) => match self.act(command) {
                     Reply::Line(line) => line,
                     Reply::Job(word, id, body) => {
@@ -247,6 +271,7 @@
             };
             self.say(&reply).await?;
         }
+        Ok(())
     }
 
     async fn say(&mut self, line: &str) -> io::Result<()> {
@@ -342,9 +367,7 @@
                 let mapped = front.settings.tubes.iter().any(|t| t.tube == tube || t.answers == tube);
                 text(tubes.stats_tube(&tube, mapped, now))
             }
-            Command::Stats => {
-                Reply::Text(tubes.stats(MAX_JOB, front.connections.get(), front.stopping.get()))
-            }
+            Command::Stats => Reply::Text(tubes.stats(MAX_JOB, front.seats.count(), front.stopping.get())),
             Command::ListTubes => {
                 let mapped = front.settings.tubes.iter().flat_map(|t| [t.tube.as_str(), &t.answers]);
                 Reply::Text(tubes.list(mapped))
--- a/dispatcher/src/listeners/beanstalkd/tubes.rs
+++ b/dispatcher/src/listeners/beanstalkd/tubes.rs
@@ -93,6 +93,11 @@
         client
     }
 
+    /// Whether the client has reserved a job.
+    pub fn holds(&self, client: Client) -> bool {
+        self.jobs.values().any(|job| matches!(job.state, State::Reserved(c, _) if c == client))
+    }
+
     /// What the client held is ready again.
     pub fn disconnect(&mut self, client: Client, now: Instant) {
         self.advance(now);
--- a/dispatcher/tests/beanstalkd.rs
+++ b/dispatcher/tests/beanstalkd.rs
@@ -226,14 +226,35 @@
 
 #[test]
 fn bounds_are_answered_and_hold() {
-    let rig = Rig::with(1, SETTINGS, Some(&front(r#""max_jobs": 1, "max_connections": 2,"#)));
+    let rig = Rig::with(1, SETTINGS, Some(&front(r#""max_jobs": 2, "max_connections": 2,"#)));
     let (mut first, mut second) = (client(&rig), client(&rig));
-    let id = put(&mut first, "statements", 0);
+    let _ids = [put(&mut first, "statements", 0), put(&mut first, "statements", 0)];
     assert_eq!(second.say("use statements"), "USING statements");
     assert_eq!(second.say("put 0 0 60 1\r\nx"), "OUT_OF_MEMORY");
-    assert!(client(&rig).is_ended(), "a third connection is closed");
-    assert_eq!(first.say(&format!("delete {id}")), "DELETED");
-    put(&mut second, "statements", 0);
+    (0..2).for_each(|_| rig.news(0, &rig.workers[0].take(), "done", DONE));
+    for client in [&mut first, &mut second] {
+        assert_eq!(client.say("watch done"), "WATCHING 2");
+        let (id, _) = client.reserve();
+        assert!(id > 0);
+    }
+    assert!(client(&rig).is_ended(), "a third connection is closed: nobody gives way who holds a job");
+    assert_eq!(second.say("list-tube-used"), "USING statements");
+}
+
+/// A crowd that stays and says nothing, or half a command, must not keep usual clients out.
+#[rstest]
+#[case::nothing("")]
+#[case::half_a_line("put 0 0 6")]
+#[case::half_a_body("put 0 0 60 5\r\nhe")]
+fn idle_and_slow_connections_give_way(#[case] part: &str) {
+    let rig = Rig::with(1, SETTINGS, Some(&front(r#""max_connections": 2,"#)));
+    let mut crowd = [client(&rig), client(&rig)];
+    crowd.iter_mut().for_each(|c| c.write(part.as_bytes()));
+    if !part.is_empty() {
+        assert!(crowd.iter_mut().all(|c| c.is_ended()));
+    }
+    put(&mut client(&rig), "statements", 0);
+    assert!(crowd[0].is_ended());
 }
 
 #[test]
