Hold a worker dead after two failed probes; count a broken connection as part of a symptom

Checked by a trace of every forward, call, DELETE and probe: 166 forwards met a broken connection, and each darkened and barred its worker; 72 probes broke likewise, and each called back all jobs there, started ones too (92 cancels of 698 forwards). 703 probes met nobody, up to 73 a second at one dead worker, each doubling its bar. At fault: balance.rs learn() (a whole symptom for one connection), probed() (one probe is death). Conclusion: the worker's own word, asked twice, decides who is left out.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -58,6 +58,10 @@
 /// more began at once.
 const ROOM_FALL: f64 = 0.5;
 const ROOM_RISE: f64 = 0.25;
+/// A broken or refused connection may be that connection's fault alone: a symptom is so much of one, and a worker
+/// is held to be dead when so many probes in a row have failed.
+const BROKEN_PART: f64 = 0.4;
+const DEAD_AFTER: u32 = 2;
 /// Reports stay set aside for so many usual response times after the last one caught late.
 const LATE_FOR: f64 = 4.0;
 
@@ -178,12 +182,12 @@
         self.bars.is_empty() || lanes(w, request).iter().all(|lane| self.bars.get(lane).is_none_or(free))
     }
 
-    fn symptom(&mut self, lane: Lane, base: f64, now: Micros) {
+    fn symptom(&mut self, lane: Lane, part: f64, base: f64, now: Micros) {
         // Two classes in a row speak of the worker: one that drains, say, before the list tells.
         let other = self.bars.iter().any(|(l, _)| l.0 == lane.0 && l.1.is_some() && l.1 != lane.1);
         let lane = if other { (lane.0, None, None) } else { lane };
         let bar = self.bars.entry(lane).or_default();
-        bar.suspicion = (bar.suspicion + 1.0).min(MAX_SUSPICION);
+        bar.suspicion = (bar.suspicion + part).min(MAX_SUSPICION);
         bar.until = bar.until.max(now + (base * 2f64.powf(bar.suspicion - 1.0)) as Micros);
     }
 
@@ -813,7 +817,7 @@
             (request.class, request.tenant, request.slots, end);
         let (late, base) = (self.now < self.fleet.late_until, self.bar_base(class));
         let w = &mut self.fleet.workers[ix];
-        let mut lane = None;
+        let (mut lane, mut part) = (None, 1.0);
         match outcome {
             Outcome::Served => {
                 (w.dark, w.left) = (false, self.now);
@@ -842,11 +846,14 @@
                 w.connected = 0;
                 w.unreached = w.entry.stage == Stage::Gone;
                 lane = Some((ix, None, None));
+                // Where one can look, a look tells more: it is not left out for a connection that broke.
+                part = if w.dark { BROKEN_PART } else { 1.0 };
+                self.ask(ix);
             }
             _ => {}
         }
         if let Some(lane) = lane {
-            self.fleet.symptom(lane, base, self.now);
+            self.fleet.symptom(lane, part, base, self.now);
         }
     }
 
@@ -977,13 +984,23 @@
         let Some(&ix) = self.fleet.index.get(&worker) else { return };
         self.heard(ix, report.as_ref());
         let base = self.bar_base(ClassId(0));
-        let w = &mut self.fleet.workers[ix];
+        let (w, lane) = (&mut self.fleet.workers[ix], (ix, None, None));
+        let was_dark = w.dark;
         w.probing = false;
+        w.missed = if outcome == Outcome::Served { 0 } else { w.missed + 1 };
         w.dark = outcome != Outcome::Served && self.settings.allowed.probe;
-        if w.dark {
+        if w.dark && w.missed < DEAD_AFTER {
+            // Guards the jobs there: they are not called back for a connection that broke under a probe.
+            self.ask(ix);
+        } else if w.dark {
             w.connected = 0;
-            self.fleet.symptom((ix, None, None), base, self.now);
+            // Probes that are made while it is barred tell nothing new: the bar grows once each time it ends.
+            if self.fleet.bars.get(&lane).is_none_or(|bar| bar.suspicion < 1.0 || self.now >= bar.until) {
+                self.fleet.symptom(lane, 1.0, base, self.now);
+            }
             self.rescue(Some(ix));
+        } else if was_dark {
+            self.fleet.bars.remove(&lane);
         }
         self.offer(ix);
         for id in self.looking.clone() {
@@ -1060,7 +1077,7 @@
             }
             if dead.is_none() && !waits {
                 let base = self.bar_base(class);
-                self.fleet.symptom((ix, Some(class), None), base, self.now);
+                self.fleet.symptom((ix, Some(class), None), 1.0, base, self.now);
                 self.ask(ix);
             }
             if again && copy {
--- a/src/state.rs
+++ b/src/state.rs
@@ -104,6 +104,8 @@
     pub drained: bool,
     pub unreached: bool,
     pub probing: bool,
+    /// Probes that failed in a row.
+    pub missed: u32,
     /// Until when a connection to it stays open.
     pub connected: Micros,
     /// When a span of half the rule's began, and the slot time sent since.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -929,3 +929,65 @@
     }
     assert_eq!(out[1], 1, "it had room for one: {out:?}");
 }
+
+/// Two workers that may be probed and report nothing, and a job sent to one of them; which.
+fn probed() -> (Host, u32) {
+    let mut s = settings();
+    (s.report, s.allowed.probe) = (ReportSource::Silent, true);
+    let mut host = two_workers(s);
+    let placed = sends(&host.event(0, Event::Request(request(0, 0, 5000 * MS))));
+    (host, placed[0].1)
+}
+
+fn probe_ends(host: &mut Host, now: Micros, worker: u32, outcome: Outcome) -> Vec<Action> {
+    host.event(now, Event::Probed { worker: WorkerId(worker), outcome, report: None })
+}
+
+fn cancels(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Cancel(..))).count()
+}
+
+/// Seen: a connection broke under a probe, and all jobs of a healthy worker were called back and lost.
+#[test]
+fn jobs_are_called_back_only_when_a_second_probe_fails_too() {
+    for outcome in [Outcome::Cut, Outcome::NoRoute, Outcome::TimedOut] {
+        let (mut host, worker) = probed();
+        host.advance(200 * MS);
+        let acts = probe_ends(&mut host, 201 * MS, worker, outcome);
+        assert_eq!((cancels(&acts), probes(&acts)), (0, vec![worker]), "{acts:?}");
+        let acts = probe_ends(&mut host, 202 * MS, worker, outcome);
+        assert_eq!(cancels(&acts), 1, "{acts:?}");
+    }
+}
+
+/// Seen: connections broke here and there, and within a second no worker was trusted any more.
+#[test]
+fn a_connection_that_breaks_does_not_bar_a_worker_that_answers_a_probe() {
+    for outcome in [Outcome::Cut, Outcome::NoRoute] {
+        let (mut host, worker) = probed();
+        let acts = host.close(MS, "0", 0, outcome, MS, None);
+        assert_eq!(probes(&acts), vec![worker]);
+        assert!(sends(&acts).iter().all(|s| s.1 != worker), "not before it has answered");
+        probe_ends(&mut host, 2 * MS, worker, Outcome::Served);
+        let placed: Vec<u32> = (1..4)
+            .flat_map(|i| sends(&host.event(3 * MS, Event::Request(request(i, 0, 5000 * MS)))))
+            .map(|s| s.1)
+            .collect();
+        assert!(placed.contains(&worker), "{placed:?}");
+    }
+}
+
+/// A dead worker that is asked again and again must not be barred for minutes: what counts is how often a bar
+/// ended and it was still dead. When it answers, it is back.
+#[test]
+fn a_worker_that_answers_again_is_back_at_once() {
+    let (mut host, worker) = probed();
+    host.close(MS, "0", 0, Outcome::NoRoute, MS, None);
+    (2..100).for_each(|i| drop(probe_ends(&mut host, i * MS, worker, Outcome::NoRoute)));
+    probe_ends(&mut host, 100 * MS, worker, Outcome::Served);
+    let placed: Vec<u32> = (1..4)
+        .flat_map(|i| sends(&host.event(101 * MS, Event::Request(request(i, 0, 5000 * MS)))))
+        .map(|s| s.1)
+        .collect();
+    assert!(placed.contains(&worker), "{placed:?}");
+}
