Give up jobs that are not taken in 0.5 s; keep no connections where one broke

Checked by the trace: of 1062 posts 1056 had their 202 within 50 ms, six none at all until the deadline, with no call of the worker either. A job whose connection was closed before the 202 was taken as given up at once when the DELETE's own connection was reset. Ruled out: slow 202s. At fault: targets/http.rs post() (waits for the 202 as long as for the job), cancel() (NoConnection counted as known to the worker), Pools (reuse whatever becomes of it), and 'too many calls' told as a fault of the worker. Conclusion: connections are the cheap thing here (0.7-2 ms of work), an attempt is not.

--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -25,8 +25,15 @@
 const CANCEL_AGAIN: Duration = Duration::from_millis(100);
 /// How long the answer to giving up a job is waited for, beyond connecting.
 const CANCEL_WITHIN: Duration = Duration::from_millis(150);
+/// So many answers to that may stay out: one connection may have fallen silent, not two.
+const CANCEL_TIMEOUTS: u32 = 2;
+/// How long a worker may take to say that it has taken a job. It does not wait for room: it takes or turns away.
+const TAKEN_WITHIN: Duration = Duration::from_millis(500);
 /// Our idle connections end before a worker ends them: a request written to one it has closed is lost.
 const IDLE_PART: f64 = 0.85;
+/// How long connections to a worker are not kept after one broke; each further time twice as long.
+const NOT_KEPT: Duration = Duration::from_secs(10);
+const NOT_KEPT_DOUBLINGS: u32 = 5;
 
 /// Why a call brought no answer.
 #[derive(Debug)]
@@ -35,6 +42,8 @@
     Refused,
     /// No connection came up: nothing was sent.
     NoConnection(String),
+    /// Too many calls are out: nothing was sent, and it says nothing of the other side.
+    Busy,
     /// No answer in time.
     Timeout,
     /// It broke, or what came was no answer: the request may have arrived.
@@ -46,6 +55,7 @@
         match self {
             CallError::Refused => write!(f, "connection refused"),
             CallError::NoConnection(e) => write!(f, "no connection: {e}"),
+            CallError::Busy => write!(f, "too many calls are out"),
             CallError::Timeout => write!(f, "no answer in time"),
             CallError::Broken(e) => write!(f, "broken: {e}"),
         }
@@ -78,40 +88,72 @@
 /// awc ends the idle connections of an address only when it calls that address again. Guards against those to
 /// workers that have left, which would stay for good: a pool that is not used goes, with all it holds.
 struct Pools {
-    by: FxHashMap<SocketAddr, (awc::Client, Instant)>,
+    by: FxHashMap<SocketAddr, Pool>,
     swept: Instant,
     connect_within: Duration,
     keepalive: Duration,
     most: usize,
 }
 
+/// The connections to one address. Some ends break kept connections under the next request: guards against
+/// that by keeping none for a time after one broke.
+struct Pool {
+    client: awc::Client,
+    used: Instant,
+    breaks: u32,
+    /// Until when none is kept.
+    unkept: Option<Instant>,
+}
+
 impl Pools {
+    /// What awc would do by itself is named here: it gives up after 5 s, and follows redirects, which would
+    /// make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
+    fn connect(&self, keep: Duration) -> awc::Client {
+        let connector = awc::Connector::new()
+            .timeout(self.connect_within)
+            .handshake_timeout(self.connect_within)
+            .conn_keep_alive(keep)
+            .conn_lifetime(Duration::from_secs(24 * 3600))
+            .disconnect_timeout(Duration::from_millis(200))
+            .limit(self.most * 2);
+        awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish()
+    }
+
     fn client(&mut self, addr: SocketAddr) -> awc::Client {
         let now = Instant::now();
         if now.duration_since(self.swept) >= self.keepalive / 4 {
             self.swept = now;
-            self.by.retain(|_, (_, used)| now.duration_since(*used) <= self.keepalive);
+            let is_unkept = |pool: &Pool| pool.unkept.is_some_and(|until| now < until);
+            self.by.retain(|_, p| now.duration_since(p.used) <= self.keepalive || is_unkept(p));
         }
-        let entry = self.by.entry(addr).or_insert_with(|| {
-            // What awc would do by itself is named here: it gives up after 5 s, and follows redirects, which
-            // would make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
-            let connector = awc::Connector::new()
-                .timeout(self.connect_within)
-                .handshake_timeout(self.connect_within)
-                .conn_keep_alive(self.keepalive.mul_f64(IDLE_PART))
-                .conn_lifetime(Duration::from_secs(24 * 3600))
-                .disconnect_timeout(Duration::from_millis(200))
-                .limit(self.most + 1);
-            let client = awc::Client::builder()
-                .connector(connector)
-                .disable_timeout()
-                .disable_redirects()
-                .no_default_headers()
-                .finish();
-            (client, now)
-        });
-        entry.1 = now;
-        entry.0.clone()
+        if self.by.get(&addr).is_none_or(|pool| pool.unkept.is_some_and(|until| now >= until)) {
+            let client = self.connect(self.keepalive.mul_f64(IDLE_PART));
+            let breaks = self.by.get(&addr).map_or(0, |pool| pool.breaks);
+            self.by.insert(addr, Pool { client, used: now, breaks, unkept: None });
+        }
+        let pool = self.by.get_mut(&addr);
+        pool.map(|pool| {
+            pool.used = now;
+            pool.client.clone()
+        })
+        .unwrap_or_default()
+    }
+
+    /// A connection to this address broke.
+    fn broke(&mut self, addr: SocketAddr) {
+        let now = Instant::now();
+        // Those of a dead pool end one after the other: that is one break.
+        let Some(breaks) = self.by.get(&addr).filter(|p| p.unkept.is_none()).map(|p| p.breaks) else {
+            return;
+        };
+        let client = self.connect(Duration::ZERO);
+        let unkept = Some(now + NOT_KEPT * 2u32.pow(breaks.min(NOT_KEPT_DOUBLINGS)));
+        self.by.insert(addr, Pool { client, used: now, breaks: breaks + 1, unkept });
     }
 }
 
@@ -152,8 +194,10 @@
         within: Duration,
         limit: usize,
     ) -> Result<HttpAnswer, CallError> {
-        if self.calls.get() >= self.most {
-            return Err(CallError::NoConnection("too many calls are out".into()));
+        // Jobs leave room for what is short: probes, and giving jobs up.
+        let most = if method == Method::POST { self.most } else { self.most + self.most / 4 };
+        if self.calls.get() >= most {
+            return Err(CallError::Busy);
         }
         self.calls.set(self.calls.get() + 1);
         let _call = Call(self.calls.clone());
@@ -177,7 +221,11 @@
             }
             Ok(HttpAnswer { status: response.status().as_u16(), rejected, body: body.freeze() })
         };
-        tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout))
+        let answer = tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout));
+        if let Err(CallError::Broken(_)) = answer {
+            self.pools.borrow_mut().broke(addr);
+        }
+        answer
     }
 }
 
@@ -203,6 +251,8 @@
     ticket: Ticket,
     worker: Rc<str>,
     task: Option<JoinHandle<()>>,
+    /// The worker has told of the job.
+    told: bool,
 }
 
 /// The forwards that are out at such workers, by the reference of their job.
@@ -223,8 +273,11 @@
     /// the worker tells of the attempt that it now has is taken up. Whether it was a worker's.
     pub fn news(&self, news: JobNews) -> bool {
         let ticket = {
-            let out = self.out.borrow();
-            out.get(&news.id).filter(|o| *o.worker == *news.from).map(|o| o.ticket)
+            let mut out = self.out.borrow_mut();
+            out.get_mut(&news.id).filter(|o| *o.worker == *news.from).map(|o| {
+                o.told = true;
+                o.ticket
+            })
         };
         let Some(ticket) = ticket else { return false };
         let end = match news.state.as_str() {
@@ -265,6 +318,48 @@
         self.out.borrow().get(&forward.job.reference).is_some_and(|o| o.ticket == forward.ticket)
     }
 
+    fn is_told(&self, forward: &Forward) -> bool {
+        let out = self.out.borrow();
+        out.get(&forward.job.reference).is_some_and(|o| o.ticket == forward.ticket && o.told)
+    }
+
+    /// Tells a worker that a job is given up, until it knows. `closed`: when the connection was ended before the
+    /// 202, which gives the job up too, once the worker has seen it.
+    async fn call_back(&self, forward: &Forward, closed: Option<Instant>) {
+        let path = format!("/jobs/{}", forward.job.reference);
+        let within = self.connect_within + CANCEL_WITHIN;
+        let mut timeouts = 0;
+        // After the 202 a worker that is cut off still has the job until it is told: guards against a second
+        // copy beside one that nobody could call back.
+        while self.is_out(forward) {
+            let (addr, body) = (forward.addr, Bytes::new());
+            let call = self.client.call(Method::DELETE, addr, &path, &[], body, within, MAX_ANSWER);
+            match call.await {
+                Ok(_) | Err(CallError::Refused) => break,
+                Err(CallError::Timeout) => {
+                    timeouts += 1;
+                    if timeouts >= CANCEL_TIMEOUTS {
+                        break;
+                    }
+                    continue;
+                }
+                // A connection may also be reset while it comes up: the end of the one before may not have got
+                // there by then.
+                Err(CallError::NoConnection(_))
+                    if closed.is_some_and(|at| at.elapsed() >= self.connect_within) =>
+                {
+                    break
+                }
+                // Broken: it may have been an idle connection that the worker had closed.
+                Err(CallError::NoConnection(_) | CallError::Broken(_) | CallError::Busy) => {}
+            }
+            if Instant::now() >= forward.until {
+                break;
+            }
+            tokio::time::sleep(CANCEL_AGAIN).await;
+        }
+    }
+
     async fn post(&self, forward: &Forward) {
         let job = &forward.job;
         if !self.flows.stands(forward) {
@@ -281,15 +376,24 @@
         if let Some(key) = &job.idempotency {
             headers.push(("Idempotency-Key", key));
         }
-        let (addr, body) = (forward.addr, job.body.clone());
-        let answer = self.client.call(Method::POST, addr, &job.path, &headers, body, left, MAX_ANSWER).await;
+        let (addr, body, within) = (forward.addr, job.body.clone(), left.min(TAKEN_WITHIN));
+        let answer =
+            self.client.call(Method::POST, addr, &job.path, &headers, body, within, MAX_ANSWER).await;
         let outcome = match answer {
             Ok(HttpAnswer { status: 202, .. }) => return,
             Ok(HttpAnswer { status: 503 | 504, rejected: true, .. }) => Outcome::NoRoom,
             Ok(_) => Outcome::Fault,
             Err(CallError::Refused | CallError::NoConnection(_)) => Outcome::NoRoute,
             Err(CallError::Broken(_)) => Outcome::Cut,
-            Err(CallError::Timeout) => Outcome::TimedOut,
+            Err(CallError::Busy) => Outcome::Moot,
+            Err(CallError::Timeout) if within == left => Outcome::TimedOut,
+            // The connection has fallen silent. The worker may have the job: if it says so, all is well, else
+            // it is told that the job is given up, and only then the next attempt may go out.
+            Err(CallError::Timeout) if self.is_told(forward) => return,
+            Err(CallError::Timeout) => {
+                self.call_back(forward, Some(Instant::now())).await;
+                Outcome::Cut
+            }
         };
         self.end(&job.reference, forward.ticket, outcome, None);
     }
@@ -299,7 +403,7 @@
     fn forward(&self, forward: Forward) {
         let (this, copy) = (self.clone(), forward.clone());
         let task = actix_rt::spawn(async move { this.post(&copy).await });
-        let out = Out { ticket: forward.ticket, worker: forward.name, task: Some(task) };
+        let out = Out { ticket: forward.ticket, worker: forward.name, task: Some(task), told: false };
         self.out.borrow_mut().insert(forward.job.reference.clone(), out);
     }
 
@@ -313,37 +417,14 @@
         actix_rt::spawn(async move {
             // Before the 202 it is the end of the connection that gives the job up. Only when that is done and
             // the worker knows may the next attempt go out: else there were two.
-            let mut given_up = false;
+            let mut closed = None;
             if let Some(task) = task {
-                given_up = !task.is_finished();
+                let posting = !task.is_finished();
                 task.abort();
                 let _ = task.await;
+                closed = posting.then(Instant::now);
             }
-            let path = format!("/jobs/{}", forward.job.reference);
-            let within = this.connect_within + CANCEL_WITHIN;
-            // After the 202 a worker that is cut off still has the job until it is told: guards against a
-            // second copy beside one that nobody could call back.
-            while this.is_out(&forward) {
-                let call = this.client.call(
-                    Method::DELETE,
-                    forward.addr,
-                    &path,
-                    &[],
-                    Bytes::new(),
-                    within,
-                    MAX_ANSWER,
-                );
-                match call.await {
-                    Ok(_) | Err(CallError::Refused | CallError::Timeout) => break,
-                    Err(CallError::NoConnection(_)) if given_up => break,
-                    // Broken: it may have been an idle connection that the worker had closed.
-                    Err(CallError::NoConnection(_) | CallError::Broken(_)) => {}
-                }
-                if Instant::now() >= forward.until {
-                    break;
-                }
-                tokio::time::sleep(CANCEL_AGAIN).await;
-            }
+            this.call_back(&forward, closed).await;
             this.end(&forward.job.reference, forward.ticket, Outcome::Cancelled, None);
         });
     }
@@ -357,7 +438,7 @@
                 Ok(_) => Outcome::Fault,
                 Err(CallError::Refused | CallError::NoConnection(_)) => Outcome::NoRoute,
                 Err(CallError::Broken(_)) => Outcome::Cut,
-                Err(CallError::Timeout) => Outcome::TimedOut,
+                Err(CallError::Timeout | CallError::Busy) => Outcome::TimedOut,
             };
             this.flows.probed(target, outcome);
         });
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -86,8 +86,9 @@
     pub id: String,
     pub addr: SocketAddr,
     seen: Receiver<Seen>,
-    /// Connections that are open to it.
+    /// Connections that are open to it, and how many ever were.
     pub open: Arc<AtomicU32>,
+    pub began: Arc<AtomicU32>,
 }
 
 impl Worker {
@@ -96,11 +97,13 @@
         let addr = socket.local_addr().expect("an address");
         let (sender, seen) = channel();
         let open = Arc::new(AtomicU32::new(0));
-        let count = open.clone();
+        let began = Arc::new(AtomicU32::new(0));
+        let (count, total) = (open.clone(), began.clone());
         thread::spawn(move || {
             for stream in socket.incoming().flatten() {
                 let (sender, count) = (sender.clone(), count.clone());
                 count.fetch_add(1, Ordering::SeqCst);
+                total.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
                     let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
                     let mut stream = stream;
@@ -116,7 +119,7 @@
                 });
             }
         });
-        Worker { id: id.into(), addr, seen, open }
+        Worker { id: id.into(), addr, seen, open, began }
     }
 
     /// The next request that comes here.
--- a/dispatcher/tests/http.rs
+++ b/dispatcher/tests/http.rs
@@ -131,6 +131,44 @@
     assert_eq!(client.answer().status(), 200);
 }
 
+/// Seen: a connection fell silent under a job, which then waited for its deadline and failed.
+#[test]
+fn a_job_that_is_not_taken_is_given_up_and_goes_elsewhere() {
+    let rig = Rig::start(2);
+    // Of these two the first is known to have begun: that its 202 does not come is no matter.
+    let mut begun = rig.post("c1", "quote", "");
+    let (first, _held) = rig.next();
+    rig.news(first, "c1", "started", "");
+    let mut client = rig.post("c2", "quote", "");
+    let (silent, _silent) = rig.next();
+    let (at, seen) = rig.next();
+    assert_eq!((at, &*seen.message.first), (silent, "DELETE /jobs/c2 HTTP/1.1"));
+    assert!(rig.workers.iter().all(|w| w.has_none()), "not before the worker knows");
+    seen.answer("404 Not Found");
+    let (second, seen) = rig.next();
+    assert_eq!(seen.reference(), "c2");
+    seen.answer("202 Accepted");
+    rig.news(second, "c2", "done", DONE);
+    rig.news(first, "c1", "done", DONE);
+    assert!([&mut client, &mut begun].iter_mut().all(|c| c.answer().status() == 200));
+}
+
+/// Seen: workers that break kept connections at the next request, one in six.
+#[test]
+fn connections_to_a_worker_are_not_kept_after_one_broke() {
+    let rig = Rig::start(1);
+    let mut client = rig.post("c0", "order", "");
+    drop(rig.workers[0].next());
+    assert_eq!(client.answer().status(), 504);
+    for id in ["c1", "c2", "c3"] {
+        let mut client = rig.post(id, "quote", "");
+        assert_eq!(rig.workers[0].take(), id);
+        rig.news(0, id, "done", DONE);
+        assert_eq!(client.answer().status(), 200);
+    }
+    assert_eq!(rig.workers[0].began.load(Ordering::SeqCst), 4, "one for each");
+}
+
 #[test]
 fn an_answer_comes_within_the_budget_and_the_attempt_is_given_up() {
     let rig = Rig::start(1);
