--- a/src/balance.rs
+++ b/src/balance.rs
@@ -58,8 +58,8 @@
 /// more began at once.
 const ROOM_FALL: f64 = 0.5;
 const ROOM_RISE: f64 = 0.25;
-/// A broken or refused connection may be that connection's fault alone: a symptom is so much of one, and a worker
-/// is held to be dead when so many probes in a row have failed.
+/// A broken or refused connection may be that connection's fault alone: a symptom is so much of one, and a
+/// worker is held to be dead when so many probes in a row have failed.
 const BROKEN_PART: f64 = 0.4;
 const DEAD_AFTER: u32 = 2;
 /// A worker that served so many jobs in a row without telling of their start tells of none.
