A watch waits 1 s, its answer 1.5 s more: a discovery gone quiet is soon noticed

A dump of the module's state (not kept) showed held 0 throughout, but the fastest worker dead since 8.9 s and the three successors, up since 7.7 s, unknown until 12.1 s at one dispatcher and 12.5 s at the other. Both logs: "discovery: no answer in time" at 11.23 s.

Lines at fault: list.rs WATCH_WAIT 8 s and ANSWER_WITHIN 3 s. The first watch, made at 0.2 s, had gone quiet at once; nothing can show that before the wait is over. A timed trace of the calls: an answer comes 2 to 10 ms after a wait that ends without news, within 0.46 s otherwise; calls also break half way, which the module answered with 0.3 to 0.6 s of pause (ask_within / 16), now a fourth.

Ruled out: held requests (none), reports (this site has none), the order in which held requests go.

The test leaves a watch without an answer: 11.1 s before, under 7 s now.

--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -11,10 +11,14 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long a watch may wait for news. What discovery has to tell counts as told some time after that.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// How long a watch may wait for news. Guards against a discovery that has gone quiet, which shows only once
+/// the wait is over; what it had to tell counts as told all the same. A wait that ends without news costs
+/// discovery little.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long an answer may take beyond that: discovery handles calls in turn.
-const ANSWER_WITHIN: Duration = Duration::from_secs(3);
+const NEWS_WITHIN: Duration = Duration::from_millis(1500);
+/// The same for a call that does not wait: after a restart or a move, all dispatchers make one at once.
+const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
 /// The longest list that is read.
 const MAX_LIST_BYTES: usize = 4 << 20;
 /// The least time between two calls that bring nothing: guards against a discovery that does not wait.
@@ -129,8 +133,9 @@
                 None => "/discovery/hosts".into(),
             };
             let asked = tokio::time::Instant::now();
+            let within = if wait.is_zero() { ANSWER_WITHIN } else { wait + NEWS_WITHIN };
             let answer = tokio::select! {
-                answer = client.get(at, &path, wait + ANSWER_WITHIN, MAX_LIST_BYTES) => answer,
+                answer = client.get(at, &path, within, MAX_LIST_BYTES) => answer,
                 // Guards against waiting on a discovery that has been replaced: what the new one has to tell
                 // counts as told soon.
                 Ok(()) = discovery.changed() => continue,
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -141,8 +141,9 @@
     }
 }
 
-/// The version of the list, its servers, and the version that the program has last said it knows.
-type Listing = Arc<(Mutex<(u64, String, u64)>, Condvar)>;
+/// The version of the list, its servers, the version that the program has last said it knows, and whether the
+/// call that waits is never answered.
+type Listing = Arc<(Mutex<(u64, String, u64, bool)>, Condvar)>;
 
 /// A running program with its peers.
 pub struct Rig {
@@ -190,8 +191,12 @@
                     let mut state = list.0.lock().expect("a lock");
                     state.2 = state.2.max(after);
                     list.1.notify_all();
-                    let old = |s: &mut (u64, String, u64)| s.0 <= after;
-                    let (state, _) = list.1.wait_timeout_while(state, wait, old).expect("a lock");
+                    let old = |s: &mut (u64, String, u64, bool)| s.0 <= after && !s.3;
+                    let (mut state, _) = list.1.wait_timeout_while(state, wait, old).expect("a lock");
+                    if !wait.is_zero() && std::mem::take(&mut state.3) {
+                        drop(state);
+                        continue;
+                    }
                     let (version, full) = (state.0, state.0 > after);
                     let servers = if full { state.1.clone() } else { String::new() };
                     drop(state);
@@ -221,7 +226,7 @@
 
     /// The program with whatever is at these addresses as its workers.
     pub fn of(listed: Vec<(String, SocketAddr)>, settings: &str, operator: Option<&str>) -> Rig {
-        let list: Listing = Arc::new((Mutex::new((1, String::new(), 0)), Condvar::new()));
+        let list: Listing = Arc::new((Mutex::new((1, String::new(), 0, false)), Condvar::new()));
         let discovery = discovery(list.clone());
         let dir = folder();
         let config = config(&listed, discovery, settings);
@@ -249,9 +254,9 @@
     pub fn list(&self, states: &[&str]) {
         let servers: Vec<String> = self.listed.iter().zip(states).map(|(w, s)| entry(w, s)).collect();
         let mut state = self.list.0.lock().expect("a lock");
-        *state = (state.0 + 1, servers.join(","), state.2);
+        *state = (state.0 + 1, servers.join(","), state.2, state.3);
         self.list.1.notify_all();
-        let unknown = |s: &mut (u64, String, u64)| s.2 < s.0;
+        let unknown = |s: &mut (u64, String, u64, bool)| s.2 < s.0;
         let (_state, waited) = self.list.1.wait_timeout_while(state, PATIENCE, unknown).expect("a lock");
         assert!(!waited.timed_out(), "the list is not asked for");
     }
@@ -309,9 +314,14 @@
         self.logged("SIGHUP")
     }
 
+    /// Leaves the call that waits, or the next one, without an answer.
+    pub fn silence_discovery(&self) {
+        self.list.0.lock().expect("a lock").3 = true;
+    }
+
     /// Moves discovery to a new address, where versions begin anew and the workers are in the states given.
     pub fn move_discovery(&mut self, states: &[&str]) {
-        self.list = Arc::new((Mutex::new((0, String::new(), 0)), Condvar::new()));
+        self.list = Arc::new((Mutex::new((0, String::new(), 0, false)), Condvar::new()));
         self.reload(&config(&self.listed, discovery(self.list.clone()), SETTINGS));
         self.list(states);
     }
--- a/dispatcher/tests/http.rs
+++ b/dispatcher/tests/http.rs
@@ -5,7 +5,7 @@
 use common::{folder, program, Rig, Worker, SETTINGS};
 use rstest::rstest;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const DONE: &str = r#","result":"a chart""#;
 
@@ -321,6 +321,17 @@
     assert_eq!(before.answer().status(), 200);
 }
 
+/// A watch that stayed silent was waited for during 11 s, while workers came and went.
+#[test]
+fn a_discovery_gone_quiet_is_soon_asked_again() {
+    let rig = Rig::start(2);
+    rig.list(&["up", "up"]);
+    rig.silence_discovery();
+    let since = Instant::now();
+    rig.list(&["draining", "up"]);
+    assert!(since.elapsed() < Duration::from_secs(7), "{:?}", since.elapsed());
+}
+
 #[rstest]
 #[case::no_json("{", "GW_CONFIG")]
 #[case::no_address(r#"{"settings": {}, "discovery": "there"}"#, "discovery")]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -64,6 +64,9 @@
 const DEAD_AFTER: u32 = 2;
 /// A worker that served so many jobs in a row without telling of their start tells of none.
 pub const MUTE_AFTER: u32 = 3;
+/// The first wait before the list is asked for again is this part of what the rules allow, the next ones grow:
+/// one call may fail by its connection alone.
+const AGAIN_PART: Micros = 64;
 /// Reports stay set aside for so many usual response times after the last one caught late.
 const LATE_FOR: f64 = 4.0;
 
@@ -316,7 +319,7 @@
             wake_at: Micros::MAX,
             due: Micros::MAX,
             subscribe_at: ask.then_some(0),
-            subscribe_wait: (settings.rules.ask_within / 16).max(1),
+            subscribe_wait: (settings.rules.ask_within / AGAIN_PART).max(1),
             usual: aim as f64,
             least: vec![f64::MAX; settings.classes.len()],
             class_time: settings.classes.iter().map(|c| c.aim as f64).collect(),
@@ -371,7 +374,7 @@
     fn workers(&mut self, kind: ListKind, entries: &Arc<[WorkerEntry]>) {
         if kind != ListKind::Cached {
             self.subscribe_at = None;
-            self.subscribe_wait = (self.settings.rules.ask_within / 16).max(1);
+            self.subscribe_wait = (self.settings.rules.ask_within / AGAIN_PART).max(1);
         }
         if self.fleet.take_list(kind, entries, &mut self.profiles, self.now) {
             let looking = !self.looking.is_empty();
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -255,12 +255,13 @@
 fn the_list_is_asked_for_at_start_and_again_after_a_failure() {
     let mut s = settings();
     s.discovery = Discovery::Ask;
+    let soon = s.rules.ask_within / 32;
     let mut host = Host::new(s, 1);
     let acts = host.list(0, ListKind::Cached, vec![entry(1, 0, None)]);
     assert!(acts.contains(&Action::Subscribe));
     let acts = host.event(100 * MS, Event::ListFailed);
     assert!(!acts.contains(&Action::Subscribe), "not at once");
-    assert!(host.advance(10_000 * MS).contains(&Action::Subscribe));
+    assert!(host.advance(100 * MS + soon).contains(&Action::Subscribe));
 }
 
 #[test]
