--- a/src/balance.rs
+++ b/src/balance.rs
@@ -64,8 +64,8 @@
 const DEAD_AFTER: u32 = 2;
 /// A worker that served so many jobs in a row without telling of their start tells of none.
 pub const MUTE_AFTER: u32 = 3;
-/// The first wait before the list is asked for again is this part of what the rules allow, the next ones grow:
-/// one call may fail by its connection alone.
+/// The first wait before the list is asked for again is this part of what the rules allow, later ones grow: a
+/// call may fail by its connection alone.
 const AGAIN_PART: Micros = 64;
 /// Reports stay set aside for so many usual response times after the last one caught late.
 const LATE_FOR: f64 = 4.0;
