Add the crate control: overrides, their merge, and the talk between dispatchers

Operators can override nothing today, and two dispatchers know nothing of each other. The new crate holds overrides with an expiry, merges what dispatchers hold (hybrid logical clock, last writer, clearings kept as long as anything they clear could return), and talks over lossy datagrams: pushes, digests by buckets of fingerprints, keyed BLAKE3, tokens and numbers against replay. No I/O, no clock.

--- /dev/null
+++ b/control/src/peers/keys.rs
@@ -0,0 +1,100 @@
+//! The keys that datagrams are authenticated with.
+
+use thiserror::Error;
+
+/// A key file that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum BadKeys {
+    /// A line is no key.
+    #[error("line {0} is not a key: 64 hexadecimal digits are one")]
+    Line(usize),
+    /// There is none.
+    #[error(
+        "holds no key: it must hold one line of 64 hexadecimal digits, or two while a key is being replaced"
+    )]
+    None,
+    /// There are three or more.
+    #[error("holds {0} keys: two at most, while one is being replaced")]
+    TooMany(usize),
+    /// Two are the same.
+    #[error("holds the same key twice")]
+    Twice,
+}
+
+/// One or two keys. The first seals; each of them opens.
+#[derive(Clone)]
+pub struct KeyRing(Vec<[u8; 32]>);
+
+impl std::fmt::Debug for KeyRing {
+    /// Never shows the keys.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "KeyRing({} keys)", self.0.len())
+    }
+}
+
+impl KeyRing {
+    /// Reads a key file: a key a line, in hexadecimal; empty lines and those that begin with # count for
+    /// nothing.
+    ///
+    /// # Errors
+    /// Says which line can't be used, never what it holds.
+    pub fn parse(text: &str) -> Result<KeyRing, BadKeys> {
+        let mut keys = Vec::new();
+        for (at, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if !line.is_empty() && !line.starts_with('#') {
+                let key = blake3::Hash::from_hex(line).map_err(|_| BadKeys::Line(at + 1))?;
+                keys.push(*key.as_bytes());
+            }
+        }
+        match keys.len() {
+            0 => Err(BadKeys::None),
+            2 if keys[0] == keys[1] => Err(BadKeys::Twice),
+            1 | 2 => Ok(KeyRing(keys)),
+            more => Err(BadKeys::TooMany(more)),
+        }
+    }
+
+    /// The tag of bytes under the key that seals.
+    pub(super) fn seal(&self, bytes: &[u8]) -> [u8; 16] {
+        tag(&self.0[0], bytes)
+    }
+
+    /// Whether a tag is that of the bytes under any key. Takes as long for a wrong tag as for a right one.
+    pub(super) fn opens(&self, bytes: &[u8], sent: &[u8; 16]) -> bool {
+        let widened = |tag: [u8; 16]| {
+            let mut hash = [0; 32];
+            hash[..16].copy_from_slice(&tag);
+            blake3::Hash::from_bytes(hash)
+        };
+        // The comparison of hashes is constant in time.
+        self.0.iter().fold(false, |opened, key| opened | (widened(tag(key, bytes)) == widened(*sent)))
+    }
+}
+
+fn tag(key: &[u8; 32], bytes: &[u8]) -> [u8; 16] {
+    let hash = blake3::keyed_hash(key, bytes);
+    hash.as_bytes()[..16].try_into().unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_file_holds_one_key_or_two_while_one_is_replaced() {
+        let (a, b, c) = ("ab".repeat(32), "0C".repeat(32), "11".repeat(32));
+        assert!(KeyRing::parse(&format!("# old\n\n  {a}\n")).is_ok());
+        let two = KeyRing::parse(&format!("{a}\n{b}")).expect("two keys");
+        let first = KeyRing::parse(&a).expect("a key");
+        let second = KeyRing::parse(&b).expect("a key");
+        assert!(two.opens(b"x", &first.seal(b"x")) && two.opens(b"x", &second.seal(b"x")));
+        assert!(first.opens(b"x", &two.seal(b"x")) && !second.opens(b"x", &two.seal(b"x")));
+        assert!(!two.opens(b"y", &first.seal(b"x")));
+        assert_eq!(KeyRing::parse("# none\n").unwrap_err(), BadKeys::None);
+        assert_eq!(KeyRing::parse(&format!("{a}\n{a}")).unwrap_err(), BadKeys::Twice);
+        assert_eq!(KeyRing::parse(&format!("{a}\n{b}\n{c}")).unwrap_err(), BadKeys::TooMany(3));
+        assert_eq!(KeyRing::parse(&format!("{a}\nsecret")).unwrap_err(), BadKeys::Line(2));
+        assert_eq!(format!("{two:?}"), "KeyRing(2 keys)");
+    }
+}
--- /dev/null
+++ b/control/tests/cluster.rs
@@ -0,0 +1,358 @@
+//! Dispatchers over a network that loses, doubles, delays and reorders, all in one thread: the same seed gives
+//! the same run.
+
+use lineroute_control::overrides::{Forces, Line, Order, Record, Scope, Slot, Table};
+use lineroute_control::peers::{Gossip, KeyRing, Outgoing};
+use lineroute_control::Millis;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const START: Millis = 1_764_600_000_000;
+const HOUR: Millis = 3_600_000;
+const ROUND: Millis = 200;
+
+fn keys(byte: &str) -> KeyRing {
+    KeyRing::parse(&byte.repeat(32)).expect("a key")
+}
+
+fn addr(at: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 7000 + at as u16).into()
+}
+
+struct Node {
+    table: Table,
+    gossip: Gossip,
+    /// Its clock is so much ahead.
+    skew: i64,
+    up: bool,
+}
+
+struct Cluster {
+    nodes: Vec<Node>,
+    now: Millis,
+    rng: StdRng,
+    loss: f64,
+    /// Those in different groups don't hear each other.
+    groups: Vec<u8>,
+    /// What is on its way, by when it comes.
+    wire: BTreeMap<(Millis, u64), (usize, SocketAddr, Vec<u8>)>,
+    sent: u64,
+    /// Everything that was ever sent, for those that throw it back.
+    recorded: Vec<(usize, SocketAddr, Vec<u8>)>,
+}
+
+impl Cluster {
+    fn new(size: usize, seed: u64, loss: f64) -> Cluster {
+        let mut cluster = Cluster {
+            nodes: Vec::new(),
+            now: START,
+            rng: StdRng::seed_from_u64(seed),
+            loss,
+            groups: vec![0; size],
+            wire: BTreeMap::new(),
+            sent: 0,
+            recorded: Vec::new(),
+        };
+        for at in 0..size {
+            let node = cluster.fresh(at, size);
+            cluster.nodes.push(node);
+        }
+        cluster
+    }
+
+    fn fresh(&mut self, at: usize, size: usize) -> Node {
+        let peers: Vec<SocketAddr> = (0..size).filter(|p| *p != at).map(addr).collect();
+        let gossip = Gossip::new(&peers, keys("ab"), self.rng.random());
+        Node { table: Table::new(&format!("n{at}"), 16 * HOUR), gossip, skew: 0, up: true }
+    }
+
+    /// The dispatcher dies and starts from nothing.
+    fn restart(&mut self, at: usize) {
+        let (size, skew) = (self.nodes.len(), self.nodes[at].skew);
+        self.nodes[at] = Node { skew, ..self.fresh(at, size) };
+    }
+
+    fn clock(&self, at: usize) -> Millis {
+        self.now.saturating_add_signed(self.nodes[at].skew)
+    }
+
+    fn post(&mut self, from: usize, out: Vec<Outgoing>) {
+        for (to, bytes) in out {
+            assert!(bytes.len() <= 256, "{} bytes", bytes.len());
+            let to = usize::from(to.port() - 7000);
+            self.recorded.push((to, addr(from), bytes.clone()));
+            if self.groups[from] != self.groups[to] {
+                continue;
+            }
+            // None, one or two copies, each with a delay of its own.
+            for _ in 0..if self.rng.random_bool(0.1) { 2 } else { 1 } {
+                if !self.rng.random_bool(self.loss) {
+                    self.sent += 1;
+                    let at = self.now + self.rng.random_range(1..=120);
+                    self.wire.insert((at, self.sent), (to, addr(from), bytes.clone()));
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 1;
+            while let Some(entry) = self.wire.first_entry().filter(|e| e.key().0 <= self.now) {
+                let (to, from, bytes) = entry.remove();
+                self.deliver(to, from, &bytes);
+            }
+            for at in 0..self.nodes.len() {
+                if self.nodes[at].up && (self.now + at as Millis * 37).is_multiple_of(ROUND) {
+                    let Node { gossip, table, .. } = &mut self.nodes[at];
+                    let out = gossip.tick(table);
+                    self.post(at, out);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, from: SocketAddr, bytes: &[u8]) {
+        let now = self.clock(to);
+        let Node { gossip, table, up, .. } = &mut self.nodes[to];
+        if *up {
+            let out = gossip.receive(now, from, bytes, table);
+            self.post(to, out);
+        }
+    }
+
+    fn set(&mut self, at: usize, worker: &str, weight: f64, span: Millis) -> Arc<Record> {
+        let now = self.clock(at);
+        let slot = Slot { worker: worker.into(), scope: Scope::Weight };
+        let order =
+            Order { slot, weight: Some(weight), until: now + span, by: "ama".into(), why: "test".into() };
+        let Node { table, gossip, .. } = &mut self.nodes[at];
+        let record = table.set(order, now).expect("set");
+        let out = gossip.announce(&record);
+        self.post(at, out);
+        record
+    }
+
+    fn clear(&mut self, at: usize, id: &str) {
+        let now = self.clock(at);
+        let Node { table, gossip, .. } = &mut self.nodes[at];
+        let record = table.clear(id, "ama", "", now).expect("cleared");
+        let out = gossip.announce(&record);
+        self.post(at, out);
+    }
+
+    fn forces(&self, at: usize) -> Forces {
+        self.nodes[at].table.forces(self.clock(at))
+    }
+
+    fn lines(&self, at: usize) -> Vec<Line> {
+        self.nodes[at].table.lines(self.clock(at), |_| true)
+    }
+
+    /// Asserts that all say the same, shown ones and those in force.
+    fn agree(&self) {
+        for at in 1..self.nodes.len() {
+            assert_eq!(self.forces(at), self.forces(0), "n{at}");
+            assert_eq!(self.lines(at), self.lines(0), "n{at}");
+        }
+    }
+
+    /// Rounds until all hold the same, in milliseconds.
+    fn until_agreed(&mut self, limit: Millis) -> Millis {
+        let start = self.now;
+        while (1..self.nodes.len()).any(|at| self.forces(at) != self.forces(0)) {
+            assert!(self.now - start < limit, "not agreed after {limit} ms");
+            self.run(10);
+        }
+        self.now - start
+    }
+}
+
+#[test]
+fn an_override_reaches_all_within_two_seconds_at_thirty_percent_loss() {
+    let mut slowest = 0;
+    for seed in 0..100 {
+        let mut cluster = Cluster::new(3, seed, 0.3);
+        // From a cold start, as after a release: nobody has greeted anybody yet.
+        cluster.set(0, "w", 0.5, HOUR);
+        slowest = slowest.max(cluster.until_agreed(2000));
+    }
+    println!("slowest of 100 runs: {slowest} ms");
+}
+
+#[test]
+fn conflicting_overrides_while_cut_off_end_the_same_everywhere() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(3, seed, 0.3);
+        cluster.run(1000);
+        cluster.groups = vec![0, 1, 2];
+        cluster.set(0, "w", 0.5, HOUR);
+        cluster.set(1, "w", 2.0, HOUR);
+        cluster.run(3000);
+        assert_ne!(cluster.forces(0), cluster.forces(1));
+        cluster.groups = vec![0, 0, 0];
+        cluster.run(4000);
+        cluster.agree();
+        assert_eq!(cluster.forces(2).weights.len(), 1);
+        assert_eq!(cluster.lines(2).len(), 2, "the beaten one is shown, also where nothing was set");
+    }
+}
+
+#[test]
+fn a_clear_wins_over_its_set_in_any_order_and_across_a_cut() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(3, seed, 0.3);
+        cluster.run(1000);
+        let set = cluster.set(0, "w", 0.5, HOUR);
+        cluster.run(1500);
+        // The third is cut off and has the set; the clear is made while it hears nothing.
+        cluster.groups = vec![0, 0, 1];
+        cluster.clear(1, &set.stamp.to_string());
+        cluster.run(2000);
+        assert_eq!(cluster.forces(2).weights.len(), 1);
+        cluster.groups = vec![0; 3];
+        cluster.run(3000);
+        cluster.agree();
+        assert_eq!(cluster.forces(2), Forces::default());
+    }
+}
+
+#[test]
+fn one_that_dies_or_restarts_loses_nothing_that_a_peer_knows() {
+    let mut cluster = Cluster::new(3, 5, 0.3);
+    cluster.run(1000);
+    cluster.set(0, "w", 0.5, HOUR);
+    cluster.run(1500);
+    // The one that set it is gone for good; another restarts from nothing and learns it of the third.
+    cluster.nodes[0].up = false;
+    cluster.restart(1);
+    cluster.run(2500);
+    assert_eq!(cluster.forces(1).weights, [("w".into(), 0.5)]);
+    cluster.run(HOUR - 4500);
+    assert_eq!(cluster.forces(1).weights.len(), 1);
+    cluster.run(1000);
+    assert_eq!((cluster.forces(1), cluster.forces(2)), (Forces::default(), Forces::default()));
+}
+
+#[test]
+fn with_a_clock_off_by_400_ms_overrides_end_within_a_second_and_the_later_write_still_counts() {
+    let mut cluster = Cluster::new(3, 9, 0.3);
+    (cluster.nodes[1].skew, cluster.nodes[2].skew) = (400, -400);
+    cluster.run(1000);
+    let first = cluster.set(1, "w", 0.5, 5000);
+    let end = first.until;
+    cluster.run(2000);
+    // Written later, by a clock that is 800 ms behind the first writer's.
+    cluster.set(2, "w", 4.0, 10_000);
+    let until = cluster.lines(2)[0].record.until;
+    cluster.run(2000);
+    cluster.agree();
+    assert_eq!(cluster.forces(0).weights, [("w".into(), 4.0)]);
+    assert!(until > end);
+    while cluster.now < until + 1000 {
+        cluster.run(100);
+        if cluster.now < until - 1000 {
+            (0..3).for_each(|at| assert_eq!(cluster.forces(at).weights.len(), 1, "n{at} ended early"));
+        }
+    }
+    (0..3).for_each(|at| assert_eq!(cluster.forces(at), Forces::default(), "n{at} at its end + 1 s"));
+}
+
+#[test]
+fn a_thousand_overrides_reach_one_that_has_none() {
+    let mut cluster = Cluster::new(2, 3, 0.3);
+    cluster.groups = vec![0, 1];
+    (0..1000).for_each(|i| drop(cluster.set(0, &format!("w{i}"), 0.5, HOUR)));
+    cluster.run(2000);
+    cluster.groups = vec![0, 0];
+    let took = cluster.until_agreed(20_000);
+    println!("1,000 overrides caught up in {took} ms at 30% loss");
+    cluster.agree();
+}
+
+#[test]
+fn what_is_forged_replayed_or_cut_changes_nothing_and_is_counted() {
+    let mut cluster = Cluster::new(3, 11, 0.0);
+    cluster.run(1000);
+    let set = cluster.set(0, "w", 0.5, HOUR);
+    cluster.run(1000);
+    cluster.clear(0, &set.stamp.to_string());
+    cluster.run(1000);
+    let recorded: Vec<_> = cluster.recorded.iter().filter(|r| r.0 == 1).cloned().collect();
+    // What is on its way still comes.
+    cluster.groups = vec![0, 1, 2];
+    cluster.run(200);
+    let before = cluster.nodes[1].gossip.counts();
+    let count = recorded.len() as u64;
+    // Thrown back at the same session: known numbers, or tokens of before.
+    for (to, from, bytes) in &recorded {
+        cluster.deliver(*to, *from, bytes);
+    }
+    let after = cluster.nodes[1].gossip.counts();
+    assert_eq!((after.taken, after.learnt), (before.taken, before.learnt));
+    // At a new one, which remembers nothing: the clear is unknown, and the set is still not believed.
+    cluster.restart(1);
+    for (to, from, bytes) in &recorded {
+        cluster.deliver(*to, *from, bytes);
+    }
+    assert_eq!((cluster.nodes[1].gossip.counts().taken, cluster.forces(1)), (0, Forces::default()));
+    // Changed in any one place, cut anywhere, lengthened, from elsewhere, or under another key.
+    let (_, from, whole) = recorded.iter().max_by_key(|r| r.2.len()).expect("some").clone();
+    for at in 0..whole.len() {
+        let mut changed = whole.clone();
+        changed[at] ^= 1;
+        cluster.deliver(1, from, &changed);
+        cluster.deliver(1, from, &whole[..at]);
+    }
+    let long = [&whole[..], &[0; 300]].concat();
+    cluster.deliver(1, from, &long);
+    cluster.deliver(1, addr(9), &whole);
+    let mut alien = Gossip::new(&[addr(1)], keys("cd"), [7; 32]);
+    let set = Arc::new((*set).clone());
+    alien.announce(&set).iter().for_each(|(_, bytes)| cluster.deliver(1, from, bytes));
+    let counts = cluster.nodes[1].gossip.counts();
+    assert_eq!((counts.taken, counts.learnt, counts.strangers), (0, 0, 1));
+    assert!(counts.malformed > 40 && counts.unauthentic > 200, "{counts:?}");
+    assert!(counts.replayed > 0 && count > 0);
+    assert_eq!(cluster.nodes[1].table.revision(), 0);
+}
+
+/// The old session's words must not be believed in place of the new one's.
+#[test]
+fn what_a_dead_session_has_sent_is_not_believed_after_the_restart() {
+    let mut cluster = Cluster::new(2, 13, 0.0);
+    cluster.run(1000);
+    let before = cluster.recorded.len();
+    cluster.groups = vec![0, 1];
+    cluster.set(0, "w", 0.5, HOUR);
+    let held_back: Vec<_> = cluster.recorded[before..].iter().filter(|r| r.0 == 1).cloned().collect();
+    cluster.restart(0);
+    cluster.groups = vec![0, 0];
+    cluster.run(2000);
+    let taken = cluster.nodes[1].gossip.counts().taken;
+    held_back.iter().for_each(|(to, from, bytes)| cluster.deliver(*to, *from, bytes));
+    assert_eq!((cluster.nodes[1].gossip.counts().taken, cluster.forces(1)), (taken, Forces::default()));
+}
+
+#[test]
+fn a_key_is_replaced_without_a_gap() {
+    let (old, new) = ("ab".repeat(32), "cd".repeat(32));
+    let ring = |text: String| KeyRing::parse(&text).expect("keys");
+    let mut cluster = Cluster::new(3, 17, 0.0);
+    cluster.run(1000);
+    // The new key behind the old one, everywhere; then before it; then alone. Each step one by one.
+    for keys in [ring(format!("{old}\n{new}")), ring(format!("{new}\n{old}")), ring(new)] {
+        for at in 0..3 {
+            cluster.nodes[at].gossip.rekey(keys.clone());
+            cluster.set(at, "w", 0.5 + f64::from(at as u8), HOUR);
+            cluster.run(1000);
+            cluster.agree();
+        }
+    }
+    let counts = cluster.nodes.iter().map(|n| n.gossip.counts().unauthentic).sum::<u64>();
+    assert_eq!(counts, 0);
+}
