Let operators' overrides steer decisions: weight, out of service, pin

The module knows nothing of what operators set. Every send still passes the one gate. With all workers barred a request is refused at once, with when to come back.

--- a/src/api.rs
+++ b/src/api.rs
@@ -312,6 +312,17 @@
     pub held: Option<f64>,
 }
 
+/// What operators have set beside the list: all of it, in place of what was set before.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Overrides {
+    /// Workers whose share is multiplied, and by what; above 0.
+    pub weights: Vec<(WorkerId, f64)>,
+    /// Workers that get nothing new.
+    pub barred: Vec<WorkerId>,
+    /// Where the requests of a class go, or of one tenant of it, as long as they may be sent there.
+    pub pins: Vec<(ClassId, Option<TenantId>, WorkerId)>,
+}
+
 /// A request as it came in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
@@ -382,6 +393,8 @@
 pub enum Event {
     /// News of the workers.
     Workers(ListKind, Arc<[WorkerEntry]>),
+    /// Operators have set something, or ended it.
+    Overrides(Overrides),
     /// A subscription or fetch failed, or the subscription broke.
     ListFailed,
     /// A request came in. From here on one final answer is owed.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,7 +9,6 @@
 use fastrand::Rng;
 use lru::LruCache;
 use rustc_hash::FxHashMap;
-use slab::Slab;
 use std::{cmp::Ordering, collections::BTreeSet, num::NonZeroUsize, sync::Arc};
 
 /// Served jobs that a profile looks back on, about. Long, since run times have heavy tails.
@@ -82,12 +81,12 @@
     }
 
     /// Takes shares anew: unseen workers borrow the median of their kind, else of all.
-    fn take(&mut self, ready: &[Ix], workers: &Slab<Worker>) {
+    fn take(&mut self, ready: &[Ix], fleet: &Fleet) {
         let mut seen: Vec<(KindId, f32)> = Vec::new();
         for &w in ready {
             let p = self.at(w);
             if p.jobs > 0.0 {
-                seen.push((workers[w].entry.kind, p.mean.max(1.0)));
+                seen.push((fleet.workers[w].entry.kind, p.mean.max(1.0)));
             }
         }
         let (all, kinds) = medians(&mut seen);
@@ -95,10 +94,11 @@
         self.by.iter_mut().for_each(|p| p.inverse = 0.0);
         (self.total, self.top) = (0.0, 0.0);
         for &w in ready {
-            let kind = workers[w].entry.kind;
+            let kind = fleet.workers[w].entry.kind;
             let borrowed = kinds.iter().find(|k| k.0 == kind).map(|k| k.1).or(self.median);
             let p = &mut self.by[w];
-            p.inverse = 1.0 / if p.jobs > 0.0 { p.mean } else { borrowed.unwrap_or(1.0) }.max(1.0);
+            p.weight = fleet.weight(w);
+            p.inverse = p.weight / if p.jobs > 0.0 { p.mean } else { borrowed.unwrap_or(1.0) }.max(1.0);
             self.total += p.inverse;
             self.top = self.top.max(p.inverse);
         }
@@ -115,7 +115,7 @@
         p.jobs += 1.0;
         p.mean += (spent as f32 - p.mean) / p.jobs.min(PROFILE_SPAN);
         if p.inverse > 0.0 {
-            let new = 1.0 / p.mean.max(1.0);
+            let new = p.weight / p.mean.max(1.0);
             let change = new - std::mem::replace(&mut p.inverse, new);
             self.total += change;
             self.top = self.top.max(new);
@@ -337,6 +337,7 @@
         self.now = now;
         match event {
             Event::Workers(kind, entries) => self.workers(kind, &entries),
+            Event::Overrides(ref set) if self.fleet.take_overrides(set) => self.relist(),
             Event::ListFailed if self.settings.discovery == Discovery::Ask => {
                 let wait = self.subscribe_wait;
                 self.subscribe_at = Some(self.now + wait / 2 + self.rng.u64(0..=wait / 2));
@@ -360,7 +361,7 @@
                 self.wake_at = Micros::MAX;
                 self.supervise();
             }
-            Event::ListFailed | Event::Timer(_) => {}
+            Event::Overrides(_) | Event::ListFailed | Event::Timer(_) => {}
         }
         if self.subscribe_at.is_some_and(|at| self.now >= at) {
             self.actions.push(Action::Subscribe);
@@ -380,12 +381,16 @@
             self.subscribe_wait = (self.settings.rules.ask_within / AGAIN_PART).max(1);
         }
         if self.fleet.take_list(kind, entries, &mut self.profiles, self.now) {
-            let looking = !self.looking.is_empty();
-            self.fleet.relist(&self.settings, &mut self.profiles, self.now, looking);
-            self.release();
+            self.relist();
         }
     }
 
+    fn relist(&mut self) {
+        let looking = !self.looking.is_empty();
+        self.fleet.relist(&self.settings, &mut self.profiles, self.now, looking);
+        self.release();
+    }
+
     fn request(&mut self, request: Request) {
         if self.jobs.contains_key(&request.id) {
             return;
@@ -468,10 +473,16 @@
         }
         // Rules 3, 6 and 7: who may be sent to at all, and what of. Rule 4: a cold one, how much.
         w.is_candidate(&self.settings.rules)
+            && !self.fleet.barred.contains(&w.entry.worker)
             && class.is_open_to(&w.entry)
             && (w.warmth(&self.settings.rules, self.now) >= 1.0 || self.cold_allows(job, ix))
     }
 
+    /// The only worker that operators leave the job, while it can be reached and the rules let it go there.
+    fn pinned(&self, job: &Job) -> Option<Ix> {
+        self.fleet.pin(&job.request).filter(|&w| !self.fleet.workers[w].dark && self.may_send(job, w))
+    }
+
     fn slot_time(&self, job: &Job, w: Ix) -> f64 {
         let r = self.profiles.types[job.job_type].mean(w);
         r.unwrap_or(self.class_time[job.request.class.0]) * job.request.slots.max(1.0)
@@ -508,7 +519,7 @@
         if t.taken
             .is_none_or(|(at, version)| version != self.fleet.version || now >= at + self.usual as Micros)
         {
-            t.take(ready, &self.fleet.workers);
+            t.take(ready, &self.fleet);
             t.taken = Some((now, self.fleet.version));
             if job.job_type == class {
                 self.class_time[class] = t.median.map_or(self.class_time[class], f64::from);
@@ -517,6 +528,10 @@
             }
             self.fleet.typical_slots();
         }
+        if let Some(w) = self.pinned(job) {
+            // No copy goes beside the one there.
+            return Vec::from_iter((job.out.is_empty() && !job.seen.contains(&w)).then_some(w));
+        }
         let (ready, t) = (&self.fleet.ready[class], &self.profiles.types[job.job_type]);
         let (age, mut rng) = (self.fresh_for(class), self.rng.fork());
         let usable = |w: Ix, trust: bool| {
@@ -888,7 +903,7 @@
         let waited = self.now.saturating_sub(job.arrived);
         let worthless = job.held && class.late_share == 0.0 && waited > class.aim;
         let spent = job.attempts >= self.settings.allowed.max_attempts || self.now >= job.request.deadline;
-        barred || worthless || spent || job.failed.len() >= FAULTS
+        barred || worthless || spent || job.failed.len() >= FAULTS || self.fleet.shut[job.request.class.0]
     }
 
     /// Final answer without a result: a refusal where trying again is harmless, else a failure.
@@ -938,7 +953,7 @@
         for id in self.held.clone() {
             let Some(job) = self.jobs.get(&id).filter(|j| j.held && j.looking.is_none()) else { continue };
             let soon = self.now + self.tick * 3 / 2 >= job.request.deadline;
-            let free_to_go = job.doubt.is_none();
+            let free_to_go = job.doubt.is_none() && self.fleet.pin(&job.request).is_none();
             let class = job.request.class.0;
             if soon || self.lost(job) {
                 self.give_up(&id);
@@ -962,6 +977,7 @@
             let (request, w) = (&job.request, &self.fleet.workers[ix]);
             let fits =
                 w.available(request.slots, self.now, late) && self.fleet.trusted(ix, request, self.now);
+            let fits = fits && self.pinned(job).is_none_or(|pin| pin == ix);
             if job.looking.is_none() && fits && !w.dark && self.may_send(job, ix) {
                 let id = self.held[next].clone();
                 self.send(&id, ix);
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,8 +16,10 @@
     pub mean: f32,
     pub jobs: f32,
     pub out: u32,
-    /// 1 / R̄, its own or borrowed: α before it is normalised. 0: not a ready worker of the kind.
+    /// Weight / R̄, its own or borrowed: α before it is normalised. 0: not a ready worker of the kind.
     pub inverse: f32,
+    /// What operators multiply its share by; usually 1.
+    pub weight: f32,
 }
 
 /// Profiles and shares of one job type.
@@ -52,7 +54,8 @@
 
     /// R̄ at a worker, its own or borrowed.
     pub fn mean(&self, w: Ix) -> Option<f64> {
-        Some(self.get(w).inverse).filter(|i| *i > 0.0 && self.median.is_some()).map(|i| 1.0 / f64::from(i))
+        let p = Some(self.get(w)).filter(|p| p.inverse > 0.0 && self.median.is_some());
+        p.map(|p| f64::from(p.weight) / f64::from(p.inverse))
     }
 
     /// Counts an attempt in or out.
@@ -126,6 +129,12 @@
     pub ready: Vec<Vec<Ix>>,
     /// Candidates that were cold when these lists were made.
     pub cold: Vec<Ix>,
+    /// Classes whose every candidate is barred by operators.
+    pub shut: Vec<bool>,
+    /// What operators have set. By id, so that it outlasts what the list does to a worker.
+    pub weights: FxHashMap<WorkerId, f32>,
+    pub barred: FxHashSet<WorkerId>,
+    pub pins: FxHashMap<(ClassId, Option<TenantId>), WorkerId>,
     pub version: u64,
     /// The least slots that workers of a kind have shown: one that starts anew has shown few itself.
     pub kind_slots: FxHashMap<KindId, f64>,
@@ -234,6 +243,10 @@
             index: FxHashMap::default(),
             ready: vec![Vec::new(); classes],
             cold: Vec::new(),
+            shut: vec![false; classes],
+            weights: FxHashMap::default(),
+            barred: FxHashSet::default(),
+            pins: FxHashMap::default(),
             version: 0,
             kind_slots: FxHashMap::default(),
             kind_queue: FxHashMap::default(),
@@ -307,14 +320,40 @@
             }
             !leaves
         });
-        let all = self.workers.iter().filter(|(_, w)| w.is_candidate(&settings.rules));
+        let candidates = self.workers.iter().filter(|(_, w)| w.is_candidate(&settings.rules));
+        let all = candidates.clone().filter(|(_, w)| !self.barred.contains(&w.entry.worker));
         let of = |c: &Class| all.clone().filter(|(_, w)| c.is_open_to(&w.entry)).map(|(ix, _)| ix).collect();
         self.ready = settings.classes.iter().map(of).collect();
+        let any = |c: &Class| candidates.clone().any(|(_, w)| c.is_open_to(&w.entry));
+        let classes = settings.classes.iter().zip(&self.ready);
+        self.shut = classes.map(|(c, ready)| ready.is_empty() && any(c)).collect();
         let cold = all.filter(|(_, w)| w.warmth(&settings.rules, now) < 1.0);
         self.cold = cold.map(|(ix, _)| ix).collect();
         self.version += 1;
     }
 
+    /// Takes over what operators have set; whether that changed anything.
+    pub fn take_overrides(&mut self, set: &Overrides) -> bool {
+        let weights = set.weights.iter().map(|(w, weight)| (*w, *weight as f32)).collect();
+        let barred = set.barred.iter().copied().collect();
+        let pins = set.pins.iter().map(|(class, tenant, w)| ((*class, *tenant), *w)).collect();
+        let changed = (&self.weights, &self.barred, &self.pins) != (&weights, &barred, &pins);
+        (self.weights, self.barred, self.pins) = (weights, barred, pins);
+        changed
+    }
+
+    /// What a worker's share is multiplied by.
+    pub fn weight(&self, w: Ix) -> f32 {
+        self.weights.get(&self.workers[w].entry.worker).copied().unwrap_or(1.0)
+    }
+
+    /// The worker that operators have pinned a request to, if it is known. A tenant's own pin comes first.
+    pub fn pin(&self, request: &Request) -> Option<Ix> {
+        let own = request.tenant.and_then(|t| self.pins.get(&(request.class, Some(t))));
+        let pin = own.or_else(|| self.pins.get(&(request.class, None)))?;
+        self.index.get(pin).copied()
+    }
+
     pub fn typical_slots(&mut self) {
         self.kind_slots.clear();
         for (_, w) in self.workers.iter().filter(|(_, w)| w.slots > 1.0 && w.entry.stage != Stage::Gone) {
