--- /dev/null
+++ b/dispatcher/src/admin/api.rs
@@ -0,0 +1,191 @@
+//! What goes over the admin listener, as JSON: the listener writes it, the command line reads it.
+
+use lineroute_control::overrides::{Effect, Line, Scope, Standing};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A worker and what is in force for it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WorkerLine {
+    pub worker: String,
+    pub addr: String,
+    pub zone: String,
+    pub kind: String,
+    /// `up` or `draining`.
+    pub state: String,
+    /// Forwards of this dispatcher that are out there.
+    pub forwards: usize,
+    pub weight: f64,
+    pub out_of_service: bool,
+    /// `CLASS` or `CLASS/TENANT`, for each pin that leads here.
+    pub pinned: Vec<String>,
+}
+
+/// `GET /workers`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Workers {
+    pub dispatcher: String,
+    pub workers: Vec<WorkerLine>,
+}
+
+/// An override and how it stands. Times are Unix time in milliseconds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OverrideLine {
+    pub id: String,
+    pub worker: String,
+    /// `weight`, `out-of-service` or `pinned`.
+    pub kind: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<String>,
+    pub by: String,
+    pub why: String,
+    /// The dispatcher where it was set.
+    pub at: String,
+    pub set_ms: u64,
+    pub until_ms: u64,
+    pub left_ms: u64,
+    /// `in force`, `no such worker`, `worker out of service` or `beaten`.
+    pub standing: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub beaten: Option<Beaten>,
+}
+
+/// What has beaten an override.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Beaten {
+    pub id: String,
+    pub by: String,
+    pub at_ms: u64,
+}
+
+impl OverrideLine {
+    /// A line of the table, as seen at that moment.
+    pub fn of(line: &Line, now: u64) -> OverrideLine {
+        let record = &line.record;
+        let (class, tenant) = match &record.slot.scope {
+            Scope::Pinned { class, tenant } => {
+                (Some(class.to_string()), tenant.as_ref().map(|t| t.to_string()))
+            }
+            _ => (None, None),
+        };
+        let (standing, beaten) = match &line.standing {
+            Standing::InForce => ("in force", None),
+            Standing::NoSuchWorker => ("no such worker", None),
+            Standing::WorkerOut => ("worker out of service", None),
+            Standing::Beaten { id, by, at } => {
+                ("beaten", Some(Beaten { id: id.clone(), by: by.to_string(), at_ms: *at }))
+            }
+        };
+        OverrideLine {
+            id: record.stamp.to_string(),
+            worker: record.slot.worker.to_string(),
+            kind: record.slot.scope.word().into(),
+            weight: match record.effect {
+                Effect::Set(weight) => weight.map(|w| w.factor()),
+                Effect::Clear => None,
+            },
+            class,
+            tenant,
+            by: record.by.to_string(),
+            why: record.why.to_string(),
+            at: record.stamp.origin.to_string(),
+            set_ms: record.stamp.wall,
+            until_ms: record.until,
+            left_ms: record.until.saturating_sub(now),
+            standing: standing.into(),
+            beaten,
+        }
+    }
+}
+
+/// `GET /overrides`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Overridden {
+    pub dispatcher: String,
+    pub overrides: Vec<OverrideLine>,
+}
+
+/// `POST /overrides`: one of `weight`, `out_of_service` and `pin`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SetOrder {
+    pub worker: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<f64>,
+    #[serde(default)]
+    pub out_of_service: bool,
+    /// `CLASS` or `CLASS/TENANT`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pin: Option<String>,
+    pub until_ms: u64,
+    pub by: String,
+    pub why: String,
+}
+
+/// `DELETE /overrides/ID`; the body may be left out.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClearOrder {
+    pub by: String,
+    pub why: String,
+}
+
+impl Default for ClearOrder {
+    fn default() -> Self {
+        ClearOrder { by: "operator".into(), why: "cleared".into() }
+    }
+}
+
+/// What a `POST` or `DELETE` has done.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Done {
+    pub id: String,
+    /// It is on the disk; `None` where there is no `state_dir`.
+    pub saved: Option<bool>,
+    /// How what was set stands.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub set: Option<OverrideLine>,
+}
+
+/// `GET /flows`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FlowCounts {
+    pub dispatcher: String,
+    /// Owed an answer.
+    pub open: usize,
+    /// Forwards that are out.
+    pub forwards: usize,
+    /// Bytes of bodies held.
+    pub bytes: usize,
+    /// Open flows by class.
+    pub classes: BTreeMap<String, usize>,
+    /// Datagrams of the talk with peers, where it is on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<PeerCounts>,
+}
+
+/// Datagrams and records since the start.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct PeerCounts {
+    pub sent: u64,
+    pub taken: u64,
+    pub learnt: u64,
+    pub malformed: u64,
+    pub unauthentic: u64,
+    pub replayed: u64,
+    pub strangers: u64,
+    pub refused: u64,
+}
+
+/// Any other answer.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Fault {
+    pub error: String,
+    /// The field that it is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub field: Option<String>,
+}
--- /dev/null
+++ b/dispatcher/src/admin/calls.rs
@@ -0,0 +1,181 @@
+//! What each call on the admin listener does.
+
+use super::api::{
+    ClearOrder, Done, Fault, FlowCounts, Overridden, OverrideLine, PeerCounts, SetOrder, WorkerLine, Workers,
+};
+use crate::facade::Stage;
+use crate::flow::Flows;
+use crate::overrides::{now, Overrides};
+use crate::{peers, store};
+use actix_http::{Method, StatusCode};
+use lineroute_control::overrides::{Faulty, Order, Scope, Slot, Stamp};
+use lineroute_control::peers::Counts;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::time::Duration;
+
+/// How long an answer waits for the disk.
+const SAVED_WITHIN: Duration = Duration::from_secs(2);
+
+/// All that calls may look at or change.
+pub struct Calls {
+    pub dispatcher: String,
+    pub classes: Vec<String>,
+    pub flows: Flows,
+    pub overrides: Overrides,
+    pub peers: Option<peers::Handle>,
+    pub store: Option<store::Handle>,
+}
+
+/// A status and a JSON body.
+pub type Reply = (StatusCode, String);
+
+pub fn fault(status: StatusCode, field: Option<&str>, error: impl Into<String>) -> Reply {
+    json(status, &Fault { error: error.into(), field: field.map(Into::into) })
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+    match serde_json::to_string(value) {
+        Ok(text) => (status, text),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{{\"error\":\"{e}\"}}")),
+    }
+}
+
+fn refused(faulty: Faulty) -> Reply {
+    fault(StatusCode::BAD_REQUEST, Some(faulty.field), faulty.to_string())
+}
+
+/// Reads a body; a fault names its key.
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Reply> {
+    let mut json = serde_json::Deserializer::from_slice(body);
+    let value = serde_path_to_error::deserialize(&mut json).map_err(|e| {
+        let path = e.path().to_string();
+        let words = e.into_inner().to_string();
+        let named = words.split('`').nth(1).filter(|_| path == ".").map(str::to_owned);
+        let field = named.unwrap_or(path);
+        fault(StatusCode::BAD_REQUEST, Some(&field), format!("{field}: {words}"))
+    })?;
+    json.end().map_err(|e| fault(StatusCode::BAD_REQUEST, None, format!("the body: {e}")))?;
+    Ok(value)
+}
+
+impl Calls {
+    pub async fn answer(&self, method: &Method, path: &str, body: &[u8]) -> Reply {
+        let id = path.strip_prefix("/overrides/").map(unescape);
+        match (path, method, id) {
+            ("/workers", &Method::GET, _) => json(StatusCode::OK, &self.workers()),
+            ("/overrides", &Method::GET, _) => json(StatusCode::OK, &self.listed()),
+            ("/overrides", &Method::POST, _) => self.set(body).await.unwrap_or_else(|fault| fault),
+            ("/flows", &Method::GET, _) => json(StatusCode::OK, &self.counts()),
+            (_, &Method::DELETE, Some(id)) => self.clear(&id, body).await.unwrap_or_else(|fault| fault),
+            ("/workers" | "/overrides" | "/flows", ..) | (_, _, Some(_)) => {
+                fault(StatusCode::METHOD_NOT_ALLOWED, None, format!("{method} does not go with {path}"))
+            }
+            _ => {
+                let words = "no such path; there are /workers, /overrides, /overrides/ID and /flows";
+                fault(StatusCode::NOT_FOUND, None, words)
+            }
+        }
+    }
+
+    fn workers(&self) -> Workers {
+        let forces = self.overrides.in_force();
+        let workers = self.flows.targets().into_iter().map(|seen| {
+            let weight = forces.weights.iter().find(|w| *w.0 == *seen.name).map_or(1.0, |w| w.1);
+            let pins = forces.pins.iter().filter(|p| *p.worker == *seen.name);
+            WorkerLine {
+                addr: seen.addr.to_string(),
+                zone: seen.zone.to_string(),
+                kind: seen.kind.to_string(),
+                state: if seen.stage == Stage::Ready { "up" } else { "draining" }.into(),
+                forwards: seen.out,
+                weight,
+                out_of_service: forces.out.iter().any(|w| **w == *seen.name),
+                pinned: pins
+                    .map(|p| p.tenant.as_ref().map_or(p.class.to_string(), |t| format!("{}/{t}", p.class)))
+                    .collect(),
+                worker: seen.name.to_string(),
+            }
+        });
+        Workers { dispatcher: self.dispatcher.clone(), workers: workers.collect() }
+    }
+
+    fn listed(&self) -> Overridden {
+        let now = now();
+        let lines = self.overrides.lines();
+        let overrides = lines.iter().map(|line| OverrideLine::of(line, now)).collect();
+        Overridden { dispatcher: self.dispatcher.clone(), overrides }
+    }
+
+    fn counts(&self) -> FlowCounts {
+        let counted = self.flows.counted(self.classes.len());
+        let peers = self.peers.as_ref().map(|peers| {
+            let Counts { sent, taken, learnt, malformed, unauthentic, replayed, strangers, refused } =
+                peers.counts();
+            PeerCounts { sent, taken, learnt, malformed, unauthentic, replayed, strangers, refused }
+        });
+        FlowCounts {
+            dispatcher: self.dispatcher.clone(),
+            open: counted.open,
+            forwards: counted.out,
+            bytes: counted.bytes,
+            classes: self.classes.iter().cloned().zip(counted.classes).collect(),
+            peers,
+        }
+    }
+
+    async fn set(&self, body: &[u8]) -> Result<Reply, Reply> {
+        let SetOrder { worker, weight, out_of_service, pin, until_ms, by, why } = read(body)?;
+        let kinds = [weight.is_some(), out_of_service, pin.is_some()];
+        if kinds.iter().filter(|given| **given).count() != 1 {
+            let words = "weight, out_of_service, pin: exactly one of them says what to set";
+            return Err(fault(StatusCode::BAD_REQUEST, Some("weight"), words));
+        }
+        let scope = match pin {
+            Some(pin) => {
+                let (class, tenant) = self
+                    .overrides
+                    .flows_of(&pin)
+                    .map_err(|words| fault(StatusCode::BAD_REQUEST, Some("pin"), format!("pin: {words}")))?;
+                Scope::Pinned { class: class.into(), tenant: tenant.map(Into::into) }
+            }
+            None if out_of_service => Scope::OutOfService,
+            None => Scope::Weight,
+        };
+        let slot = Slot { worker: worker.into(), scope };
+        let order = Order { slot, weight, until: until_ms, by, why };
+        let record = self.overrides.set(order).map_err(refused)?;
+        let saved = self.saved().await;
+        let lines = self.overrides.lines();
+        let set = lines.iter().find(|l| l.record == record).map(|l| OverrideLine::of(l, now()));
+        Ok(json(StatusCode::CREATED, &Done { id: record.stamp.to_string(), saved, set }))
+    }
+
+    async fn clear(&self, id: &str, body: &[u8]) -> Result<Reply, Reply> {
+        let ClearOrder { by, why } = if body.is_empty() { ClearOrder::default() } else { read(body)? };
+        if Stamp::parse(id).is_none() {
+            return Err(fault(
+                StatusCode::BAD_REQUEST,
+                Some("id"),
+                format!("id: {id:?} is not the id of an override"),
+            ));
+        }
+        let cleared = self.overrides.clear(id, &by, &why);
+        cleared.map_err(|faulty| match faulty.field {
+            "id" => fault(StatusCode::NOT_FOUND, Some("id"), faulty.to_string()),
+            _ => refused(faulty),
+        })?;
+        Ok(json(StatusCode::OK, &Done { id: id.into(), saved: self.saved().await, set: None }))
+    }
+
+    /// Waits until what has just been written is on the disk too.
+    async fn saved(&self) -> Option<bool> {
+        let revision = self.overrides.with(|table| table.revision());
+        Some(self.store.as_ref()?.is_saved(revision, SAVED_WITHIN).await)
+    }
+}
+
+/// Undoes the percent-encoding of a path's last part.
+fn unescape(text: &str) -> String {
+    percent_encoding::percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/dispatcher/src/cli/schema.rs
@@ -0,0 +1,9 @@
+//! `lineroute schema`.
+
+use super::{print_json, Failure};
+use crate::config::Operator;
+
+/// Prints the JSON Schema of the operator's file, made from the types that read it.
+pub fn schema() -> Result<(), Failure> {
+    print_json(&schemars::schema_for!(Operator))
+}
--- /dev/null
+++ b/dispatcher/src/config/mod.rs
@@ -0,0 +1,507 @@
+//! The one place where configuration is read, checked and given defaults. A message names the faulty key.
+
+mod faults;
+mod operator;
+
+pub use faults::{read_json, Faults};
+pub use operator::{BeanstalkdWorkers, Matching, Operator, RawAdmin, RawFront, RawPeers, RawRoute};
+
+use crate::admin::auth::AdminKeys;
+use crate::beanstalkd::is_name;
+use crate::list::HostList;
+use lineroute_control::overrides::HARD_LONGEST;
+use lineroute_control::peers::KeyRing;
+use lineroute_settings::Site;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde_json::{json, Map, Value};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Without limits given, the program keeps within what it may always have.
+const DEFAULT_MEMORY_MB: u64 = 192;
+const DEFAULT_SOCKETS: usize = 1024;
+/// Descriptors that are neither clients' nor workers': the log, timers, listeners, discovery, peers, state.
+const OTHER_SOCKETS: usize = 64;
+/// Dispatchers of a tier, at most: the talk between them is made for fewer.
+const MOST_PEERS: usize = 256;
+
+#[derive(Deserialize)]
+struct Raw {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    listen: Option<SocketAddr>,
+    #[serde(default)]
+    discovery: Option<SocketAddr>,
+    #[serde(default)]
+    seed: Option<String>,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    known: Option<HostList>,
+    #[serde(default)]
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    settings: Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawLimits {
+    memory_mb: u64,
+    sockets: usize,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        RawLimits { memory_mb: DEFAULT_MEMORY_MB, sockets: DEFAULT_SOCKETS }
+    }
+}
+
+/// The beanstalkd front, checked.
+#[derive(Debug)]
+pub struct BeanstalkdFront {
+    pub listen: SocketAddr,
+    pub path: String,
+    pub max_connections: usize,
+    pub max_jobs: usize,
+    pub max_bytes: usize,
+    pub tubes: Vec<Tube>,
+}
+
+/// What a tube stands for.
+#[derive(Debug)]
+pub struct Tube {
+    pub tube: String,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub budget: Duration,
+    pub answers: String,
+}
+
+/// A path that jobs are posted to.
+#[derive(Clone, Debug)]
+pub struct Route {
+    pub path: String,
+    /// Also the paths that go on from it.
+    pub prefix: bool,
+    /// The class of what comes in here; `None`: requests name theirs.
+    pub class: Option<usize>,
+    pub budget: Option<Duration>,
+}
+
+impl Route {
+    /// The route of a path: an exact one, else the longest prefix.
+    pub fn find<'a>(routes: &'a [Route], path: &str) -> Option<&'a Route> {
+        let exact = routes.iter().find(|r| !r.prefix && r.path == path);
+        exact.or_else(|| {
+            let fitting = routes.iter().filter(|r| r.prefix && path.starts_with(&r.path));
+            fitting.max_by_key(|r| r.path.len())
+        })
+    }
+}
+
+/// Everything that the program is told, checked.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// `None`: the operator's file lists the workers.
+    pub discovery: Option<SocketAddr>,
+    pub seed: u64,
+    pub memory: usize,
+    /// Connections of clients, and calls to workers at a time.
+    pub inbound: usize,
+    pub outbound: usize,
+    pub known: Option<HostList>,
+    pub site: Site,
+    pub routes: Vec<Route>,
+    pub workers: Vec<BeanstalkdWorkers>,
+    pub beanstalkd: Option<BeanstalkdFront>,
+    pub admin: Option<Admin>,
+    pub peers: Option<Peers>,
+    /// The longest that an override may last, in milliseconds.
+    pub longest: u64,
+    pub state_dir: Option<PathBuf>,
+}
+
+/// Where the admin listener is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdminAddr {
+    Tcp(SocketAddr),
+    Unix(PathBuf),
+}
+
+impl std::str::FromStr for AdminAddr {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<AdminAddr, String> {
+        if text.starts_with('/') {
+            return Ok(AdminAddr::Unix(text.into()));
+        }
+        let addr: Result<SocketAddr, _> = text.parse();
+        let addr = addr.map_err(|_| {
+            format!("{text:?} is neither ADDRESS:PORT nor the path of a Unix socket, which begins with /")
+        })?;
+        match addr.ip().is_loopback() {
+            true => Ok(AdminAddr::Tcp(addr)),
+            false => Err(format!("{text} is not a loopback address such as 127.0.0.1:9101")),
+        }
+    }
+}
+
+impl std::fmt::Display for AdminAddr {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            AdminAddr::Tcp(addr) => addr.fmt(f),
+            AdminAddr::Unix(path) => path.display().fmt(f),
+        }
+    }
+}
+
+/// The admin listener, checked.
+#[derive(Debug)]
+pub struct Admin {
+    pub listen: AdminAddr,
+    /// `None` only where `listen` is a Unix socket.
+    pub keys: Option<AdminKeys>,
+    pub max_connections: usize,
+}
+
+/// The talk with other dispatchers, checked.
+#[derive(Debug)]
+pub struct Peers {
+    pub listen: SocketAddr,
+    /// The others.
+    pub others: Vec<SocketAddr>,
+    pub keys: KeyRing,
+}
+
+/// What the configuration is read for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Occasion {
+    Start,
+    /// The file has been replaced while the program runs.
+    Reload,
+}
+
+/// Where configuration is found.
+#[derive(Clone, Debug, Default)]
+pub struct Sources {
+    /// In place of what `GW_CONFIG` names.
+    pub config: Option<String>,
+    pub operator: Option<String>,
+}
+
+/// Reads `GW_CONFIG`, the variables beside it, which win over what it says, and the operator's file if any.
+/// In a reload the file's word on discovery wins: the variable is of the start, and can't follow a move.
+///
+/// # Errors
+/// All that is wrong, each fault with its key.
+pub fn read(
+    variable: impl Fn(&str) -> Option<String>,
+    sources: &Sources,
+    occasion: Occasion,
+) -> Result<Config, Faults> {
+    let mut faults = Faults::default();
+    let raw: Option<Raw> = match sources.config.clone().or_else(|| variable("GW_CONFIG")) {
+        Some(path) => read_file("GW_CONFIG", &path, &mut faults),
+        None => {
+            faults.add("GW_CONFIG", "is not set: it names the platform's configuration");
+            None
+        }
+    };
+    let operator: Option<Operator> = match &sources.operator {
+        Some(path) => read_file("operator's file", path, &mut faults),
+        None => Some(Operator::default()),
+    };
+    // What can be said of the operator's file without the other one is still said.
+    let (raw, operator) = match (raw, operator) {
+        (Some(raw), Some(operator)) => (raw, operator),
+        (None, Some(operator)) => {
+            alone(&operator, &mut faults);
+            return Err(faults);
+        }
+        _ => return Err(faults),
+    };
+    let config = check(raw, operator, variable, occasion, &mut faults);
+    config.filter(|_| faults.is_empty()).ok_or(faults)
+}
+
+/// Checks what stands in the operator's file alone.
+fn alone(operator: &Operator, faults: &mut Faults) {
+    admin(operator.admin.as_ref(), faults);
+    longest(operator, faults);
+    check_routes(operator, faults);
+    check_workers(operator, faults);
+}
+
+fn check(
+    mut raw: Raw,
+    operator: Operator,
+    variable: impl Fn(&str) -> Option<String>,
+    occasion: Occasion,
+    faults: &mut Faults,
+) -> Option<Config> {
+    let address = |key: &str, given: Option<SocketAddr>, field: &str| match (variable(key), given) {
+        (_, Some(given)) if occasion == Occasion::Reload && field == "discovery" => Ok(given),
+        (Some(text), _) => text.parse().map_err(|e| format!("{key}: {text:?}: {e}")),
+        (None, given) => given.ok_or_else(|| format!("{key} is not set, and GW_CONFIG has no {field}")),
+    };
+    let listen = faults.take(address("GW_LISTEN", raw.listen, "listen"));
+    let discovery = match operator.hosts.is_empty() {
+        true => faults.take(address("GW_DISCOVERY", raw.discovery, "discovery")),
+        false => None,
+    };
+    let known = match operator.hosts.is_empty() {
+        true => raw.known.take(),
+        false => Some(HostList { version: 0, full: true, servers: operator.hosts.clone() }),
+    };
+    let seed = match &raw.seed {
+        Some(hex) => u64::from_str_radix(hex, 16).map_err(|e| format!("GW_CONFIG: seed: {hex:?}: {e}")),
+        None => Ok(std::process::id().into()),
+    };
+    let seed = faults.take(seed);
+    let added = faults.take(add_classes(&mut raw.settings, &operator));
+    let settings = Value::Object(std::mem::take(&mut raw.settings)).to_string();
+    let site = lineroute_settings::parse(&settings).map_err(|e| format!("GW_CONFIG: {e}"));
+    let site = added.and_then(|()| faults.take(site));
+    let RawLimits { memory_mb, sockets } = raw.limits;
+    if sockets < OTHER_SOCKETS * 2 {
+        faults.add("GW_CONFIG: limits.sockets", format!("{sockets} is under {}", OTHER_SOCKETS * 2));
+    }
+    if memory_mb < 32 {
+        faults.add("GW_CONFIG: limits.memory_mb", format!("{memory_mb} is under 32"));
+    }
+    let memory = (memory_mb as usize) << 20;
+    check_routes(&operator, faults);
+    check_workers(&operator, faults);
+    let admin = admin(operator.admin.as_ref(), faults);
+    let longest = longest(&operator, faults);
+    let state_dir = state_dir(operator.state_dir.as_deref(), faults);
+    let peers = operator.peers.as_ref().and_then(|p| peers(p, &raw, site.as_ref(), faults));
+    let name = variable("GW_NAME").or(raw.name).unwrap_or_else(|| "lineroute".into());
+    if !is_name(&name) || name.len() > 64 {
+        faults.add("GW_NAME", format!("{name:?} is not a plain word of 1 to 64 characters"));
+    }
+    let mut free = sockets.saturating_sub(OTHER_SOCKETS);
+    let fronts = [
+        ("beanstalkd.max_connections", operator.beanstalkd.as_ref().map_or(0, |f| f.max_connections)),
+        ("admin.max_connections", operator.admin.as_ref().map_or(0, |a| a.max_connections)),
+    ];
+    for (key, taken) in fronts {
+        free = free.saturating_sub(taken);
+        if taken > 0 && free < OTHER_SOCKETS {
+            faults.add(format!("operator's file: {key}"), format!("{taken} leaves too few sockets"));
+            free = OTHER_SOCKETS;
+        }
+    }
+    let site = site?;
+    let mut routes = vec![Route { path: "/api".into(), prefix: false, class: None, budget: None }];
+    for (i, raw) in operator.routes.into_iter().enumerate() {
+        let key = format!("operator's file: routes[{i}].class");
+        let class = faults.take(position(&site.classes, &raw.class, &key));
+        let (path, prefix) = (raw.path, raw.matching == Matching::Prefix);
+        routes.push(Route { path, prefix, class, budget: raw.budget_ms.map(Duration::from_millis) });
+    }
+    let beanstalkd = operator.beanstalkd.map(|raw| front(raw, &site, memory, faults));
+    Some(Config {
+        name,
+        listen: listen?,
+        discovery,
+        seed: seed?,
+        memory,
+        inbound: free / 8 * 5,
+        outbound: free / 4,
+        known,
+        site,
+        routes,
+        workers: operator.workers,
+        beanstalkd,
+        admin,
+        peers,
+        longest: longest?,
+        state_dir,
+    })
+}
+
+fn check_routes(operator: &Operator, faults: &mut Faults) {
+    for (i, route) in operator.routes.iter().enumerate().filter(|(_, r)| !r.path.starts_with('/')) {
+        faults.add(
+            format!("operator's file: routes[{i}].path"),
+            format!("{:?} does not begin with /", route.path),
+        );
+    }
+}
+
+fn check_workers(operator: &Operator, faults: &mut Faults) {
+    for (i, workers) in operator.workers.iter().enumerate() {
+        for (field, tube) in [("work_tube", &workers.work_tube), ("answers_tube", &workers.answers_tube)] {
+            faults.take(check_tube(&format!("operator's file: workers[{i}].{field}"), tube));
+        }
+    }
+}
+
+fn admin(raw: Option<&RawAdmin>, faults: &mut Faults) -> Option<Admin> {
+    let raw = raw?;
+    let key = |field: &str| format!("operator's file: admin.{field}");
+    let listen = faults.take(raw.listen.parse::<AdminAddr>().map_err(|e| format!("{}: {e}", key("listen"))));
+    if !(1..=64).contains(&raw.max_connections) {
+        faults.add(key("max_connections"), format!("{} is not between 1 and 64", raw.max_connections));
+    }
+    let keys = match &raw.key_file {
+        Some(path) => {
+            let keys =
+                read_text(path).and_then(|text| AdminKeys::parse(&text).map_err(|e| format!("{path}: {e}")));
+            Some(faults.take(keys.map_err(|e| format!("{}: {e}", key("key_file"))))?)
+        }
+        None if matches!(listen, Some(AdminAddr::Tcp(_))) => {
+            faults.add(key("key_file"), "is missing: a TCP listener needs a bearer key");
+            None
+        }
+        None => None,
+    };
+    Some(Admin { listen: listen?, keys, max_connections: raw.max_connections })
+}
+
+fn peers(raw: &RawPeers, platform: &Raw, site: Option<&Site>, faults: &mut Faults) -> Option<Peers> {
+    if site.is_some_and(|s| !s.peers) {
+        let words = "the settings forbid talk between dispatchers (allowed.peers)";
+        faults.add("operator's file: peers", words);
+    }
+    if platform.peers.len() > MOST_PEERS {
+        faults.add("GW_CONFIG: peers", format!("{} are more than {MOST_PEERS}", platform.peers.len()));
+    }
+    let keys = read_text(&raw.key_file)
+        .and_then(|text| KeyRing::parse(&text).map_err(|e| format!("{}: {e}", raw.key_file)));
+    let keys = faults.take(keys.map_err(|e| format!("operator's file: peers.key_file: {e}")));
+    let Some(listen) = platform.peer_listen else {
+        faults.add(
+            "GW_CONFIG: peer_listen",
+            "is missing: the operator's file asks for talk between dispatchers",
+        );
+        return None;
+    };
+    let others = platform.peers.iter().copied().filter(|p| *p != listen).collect();
+    Some(Peers { listen, others, keys: keys? })
+}
+
+fn longest(operator: &Operator, faults: &mut Faults) -> Option<u64> {
+    let text = operator.overrides.as_ref().map_or("16h", |o| o.longest.as_str());
+    let key = "operator's file: overrides.longest";
+    match humantime::parse_duration(text) {
+        Ok(span) if (1000..=u128::from(HARD_LONGEST)).contains(&span.as_millis()) => {
+            Some(span.as_millis() as u64)
+        }
+        Ok(_) => {
+            faults.add(key, format!("{text:?} is not between 1s and {}h", HARD_LONGEST / 3_600_000));
+            None
+        }
+        Err(e) => {
+            faults.add(key, format!("{text:?}: {e}; a span is written as 30m or 16h"));
+            None
+        }
+    }
+}
+
+fn state_dir(path: Option<&str>, faults: &mut Faults) -> Option<PathBuf> {
+    let path = PathBuf::from(path?);
+    if !path.is_absolute() {
+        faults.add("operator's file: state_dir", format!("{} is not an absolute path", path.display()));
+    } else if path.exists() && !path.is_dir() {
+        faults.add("operator's file: state_dir", format!("{} is not a folder", path.display()));
+    }
+    Some(path)
+}
+
+/// Adds the operator's classes and their kinds to the settings, so that these are read and checked as one.
+fn add_classes(settings: &mut Map<String, Value>, operator: &Operator) -> Result<(), String> {
+    let mut kinds: Vec<String> = match settings.get("skus") {
+        Some(kinds) => serde_json::from_value(kinds.clone()).map_err(|e| format!("setting skus: {e}"))?,
+        None => Vec::new(),
+    };
+    let mut added = Vec::new();
+    for (i, class) in operator.classes.iter().enumerate() {
+        let mut class = class.clone();
+        match class.remove("kind") {
+            Some(Value::String(kind)) => {
+                let at = kinds.iter().position(|k| *k == kind).unwrap_or_else(|| {
+                    kinds.push(kind);
+                    kinds.len() - 1
+                });
+                class.insert("skus_open".into(), json!([at]));
+            }
+            Some(other) => return Err(format!("operator's file: classes[{i}].kind: {other} is no name")),
+            None => {}
+        }
+        added.push(Value::Object(class));
+    }
+    if !added.is_empty() {
+        settings.insert("skus".into(), json!(kinds));
+        match settings.entry("classes").or_insert_with(|| json!([])) {
+            Value::Array(classes) => classes.extend(added),
+            _ => return Err("GW_CONFIG: setting classes: not a list".into()),
+        }
+    }
+    Ok(())
+}
+
+fn front(raw: RawFront, site: &Site, memory: usize, faults: &mut Faults) -> BeanstalkdFront {
+    let mut tubes: Vec<Tube> = Vec::new();
+    let count = raw.tubes.len();
+    for (i, tube) in raw.tubes.into_iter().enumerate() {
+        let key = |field: &str| format!("operator's file: beanstalkd.tubes[{i}].{field}");
+        faults.take(check_tube(&key("tube"), &tube.tube));
+        faults.take(check_tube(&key("answers"), &tube.answers));
+        if tubes.iter().any(|t| t.tube == tube.tube) {
+            faults.add(key("tube"), format!("{:?} is mapped twice", tube.tube));
+        }
+        let class = faults.take(position(&site.classes, &tube.class, &key("class")));
+        let tenant = tube.tenant.and_then(|t| faults.take(position(&site.tenants, &t, &key("tenant"))));
+        if tube.budget_ms == Some(0) {
+            faults.add(key("budget_ms"), "must be above 0");
+        }
+        let Some(class) = class else { continue };
+        let deadline = Duration::from_micros(site.settings.classes[class].deadline);
+        let budget = tube.budget_ms.map_or(deadline, Duration::from_millis);
+        tubes.push(Tube { tube: tube.tube, class, tenant, budget, answers: tube.answers });
+    }
+    if count == 0 {
+        faults.add("operator's file: beanstalkd.tubes", "must hold at least one tube");
+    }
+    if let Some(t) = tubes.iter().find(|t| tubes.iter().any(|other| other.tube == t.answers)) {
+        faults.add("operator's file: beanstalkd.tubes", format!("{:?} takes jobs and answers", t.answers));
+    }
+    BeanstalkdFront {
+        listen: raw.listen,
+        path: raw.path,
+        max_connections: raw.max_connections,
+        max_jobs: raw.max_jobs,
+        max_bytes: memory / 4,
+        tubes,
+    }
+}
+
+fn check_tube(key: &str, name: &str) -> Result<(), String> {
+    // A dispatcher's name may be added to it.
+    match is_name(name) && name.len() <= 128 {
+        true => Ok(()),
+        false => Err(format!("{key}: {name:?} is no name of a tube of 1 to 128 characters")),
+    }
+}
+
+fn position(names: &[String], name: &str, key: &str) -> Result<usize, String> {
+    let at = names.iter().position(|n| n == name);
+    at.ok_or_else(|| format!("{key}: the settings have no {name:?}; they have {}", names.join(", ")))
+}
+
+fn read_text(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
+}
+
+fn read_file<T: DeserializeOwned>(source: &str, path: &str, faults: &mut Faults) -> Option<T> {
+    let text = faults.take(read_text(path).map_err(|e| format!("{source}: {e}")))?;
+    read_json(&format!("{source}: {path}"), &text, faults)
+}
--- /dev/null
+++ b/dispatcher/src/config/operator.rs
@@ -0,0 +1,156 @@
+//! The operator's file as it is written: its types are its schema.
+
+use crate::list::Host;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::net::SocketAddr;
+
+/// What the operator sets beside the platform's configuration. All of it is optional.
+#[derive(Debug, Default, Deserialize, JsonSchema, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operator {
+    /// Classes beside those of the settings, in the settings' own form. `kind` binds one to a kind of worker.
+    pub classes: Vec<Map<String, Value>>,
+    /// Workers, in discovery's form; discovery is then not asked.
+    pub hosts: Vec<Host>,
+    /// Paths beside `/api`.
+    pub routes: Vec<RawRoute>,
+    /// Kinds of worker that speak beanstalkd.
+    pub workers: Vec<BeanstalkdWorkers>,
+    /// The front for beanstalkd clients.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub beanstalkd: Option<RawFront>,
+    /// Where operators see and steer this dispatcher.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub admin: Option<RawAdmin>,
+    /// Talk with the `peers` of the platform's configuration.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peers: Option<RawPeers>,
+    /// What may be overridden.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub overrides: Option<RawOverrides>,
+    /// A folder of this dispatcher alone, where overrides outlast a restart.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub state_dir: Option<String>,
+}
+
+/// A path and the class of what comes in there.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawRoute {
+    pub path: String,
+    #[serde(default, rename = "match")]
+    pub matching: Matching,
+    pub class: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub budget_ms: Option<u64>,
+}
+
+/// How a route's path is compared: it must be the same, or the beginning.
+#[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Matching {
+    Exact,
+    #[default]
+    Prefix,
+}
+
+/// Workers of a kind that take their jobs from beanstalkd servers.
+#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct BeanstalkdWorkers {
+    pub kind: String,
+    #[serde(default = "work_tube")]
+    pub work_tube: String,
+    #[serde(default = "answers_tube")]
+    pub answers_tube: String,
+}
+
+/// The front for beanstalkd clients.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawFront {
+    pub listen: SocketAddr,
+    /// The path that jobs are forwarded under to workers that speak HTTP.
+    #[serde(default = "api")]
+    pub path: String,
+    #[serde(default = "max_connections")]
+    pub max_connections: usize,
+    #[serde(default = "max_jobs")]
+    pub max_jobs: usize,
+    pub tubes: Vec<RawTube>,
+}
+
+/// A tube that jobs are put into, and what they are.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTube {
+    pub tube: String,
+    pub class: String,
+    #[serde(default)]
+    pub tenant: Option<String>,
+    #[serde(default)]
+    pub budget_ms: Option<u64>,
+    pub answers: String,
+}
+
+/// The admin listener.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawAdmin {
+    /// A loopback address with its port, or the path of a Unix socket, which begins with `/`.
+    pub listen: String,
+    /// Holds the bearer key, or two, a line each; needed unless `listen` is a Unix socket.
+    #[serde(default)]
+    pub key_file: Option<String>,
+    /// Calls in hand at a time.
+    #[serde(default = "admin_connections")]
+    pub max_connections: usize,
+}
+
+/// Talk between dispatchers.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPeers {
+    /// Holds the key, 64 hexadecimal digits, or two while it is being replaced, a line each.
+    pub key_file: String,
+}
+
+/// Limits of overrides.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawOverrides {
+    /// The longest span from setting an override to its end, as `30m` or `16h`; `72h` at most.
+    pub longest: String,
+}
+
+impl Default for RawOverrides {
+    fn default() -> Self {
+        RawOverrides { longest: "16h".into() }
+    }
+}
+
+fn work_tube() -> String {
+    "work".into()
+}
+
+fn answers_tube() -> String {
+    "answers".into()
+}
+
+fn api() -> String {
+    "/api".into()
+}
+
+fn max_connections() -> usize {
+    64
+}
+
+fn max_jobs() -> usize {
+    10_000
+}
+
+fn admin_connections() -> usize {
+    8
+}
--- a/dispatcher/src/facade.rs
+++ b/dispatcher/src/facade.rs
@@ -3,8 +3,8 @@
 //! don't leave this file, and neither does its clock, the only one that decisions rest on.
 
 use lineroute::{
-    Action, AttemptNo, Balancer, CellId, ClassId, Closed, Event, Key, KindId, Micros, Request, RequestId,
-    SettingsError, TenantId, WorkerEntry, WorkerId, ZoneId,
+    Action, AttemptNo, Balancer, CellId, ClassId, Closed, Event, Key, KindId, Micros, Overrides, Request,
+    RequestId, SettingsError, TenantId, WorkerEntry, WorkerId, ZoneId,
 };
 pub use lineroute::{ListKind, Outcome, Settings, Stage};
 use rustc_hash::FxHashMap;
@@ -41,11 +41,30 @@
     pub started_ms: u64,
 }
 
+/// Flows that go to one target only: those of a class, or of one tenant of it.
+#[derive(Clone, Debug)]
+pub struct Pinned {
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub target: TargetId,
+}
+
+/// What operators have set: all of it.
+#[derive(Clone, Debug, Default)]
+pub struct Steer {
+    /// Targets whose share is multiplied, and by what.
+    pub weights: Vec<(TargetId, f64)>,
+    /// Targets that get nothing new.
+    pub barred: Vec<TargetId>,
+    pub pins: Vec<Pinned>,
+}
+
 /// What has happened.
 #[derive(Debug)]
 pub enum News {
     List(ListKind, Vec<Listed>),
     ListFailed,
+    Steer(Steer),
     /// The client has gone, or the flow is over for another reason.
     Left(FlowId),
     Begun(FlowId, u32),
@@ -170,6 +189,13 @@
         let event = match news {
             News::List(kind, listed) => Event::Workers(kind, listed.iter().map(entry).collect()),
             News::ListFailed => Event::ListFailed,
+            News::Steer(steer) => Event::Overrides(Overrides {
+                weights: steer.weights.iter().map(|(t, factor)| (WorkerId(t.0), *factor)).collect(),
+                barred: steer.barred.iter().map(|t| WorkerId(t.0)).collect(),
+                pins: (steer.pins.iter())
+                    .map(|p| (ClassId(p.class), p.tenant.map(TenantId), WorkerId(p.target.0)))
+                    .collect(),
+            }),
             News::Left(flow) => Event::Aborted(request_id(flow)),
             News::Begun(flow, number) => Event::Begun(request_id(flow), AttemptNo(number)),
             News::Progress(flow, number, share) => {
--- a/dispatcher/src/flow.rs
+++ b/dispatcher/src/flow.rs
@@ -5,8 +5,7 @@
 //! Whatever is to be done outside is collected while the core is borrowed and done after the borrow has
 //! ended (`Effect`), so a listener or a target may call back at once.
 
-use crate::facade::{Ask, Decision, Facade, FlowId, Listed, News, Outcome, Stage, TargetId};
-use crate::log::log;
+use crate::facade::{Ask, Decision, Facade, FlowId, Listed, News, Outcome, Stage, Steer, TargetId};
 use bytes::Bytes;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::RefCell;
@@ -15,6 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
+use tracing::{debug, error};
 
 pub use crate::facade::ListKind;
 
@@ -108,6 +108,39 @@
     name: Rc<str>,
     place: Place,
     stage: Stage,
+    zone: Rc<str>,
+    kind: Rc<str>,
+}
+
+/// One line of the list, with what only sockets and people need of it.
+pub struct Entry {
+    pub listed: Listed,
+    pub place: Place,
+    pub zone: Rc<str>,
+    pub kind: Rc<str>,
+}
+
+/// A target as operators see it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub name: Rc<str>,
+    pub addr: SocketAddr,
+    pub stage: Stage,
+    pub zone: Rc<str>,
+    pub kind: Rc<str>,
+    /// Forwards that are out there.
+    pub out: usize,
+}
+
+/// Flows as operators see them.
+#[derive(Clone, Debug, Default)]
+pub struct Counted {
+    /// Owed an answer; with a forward out; bytes of bodies.
+    pub open: usize,
+    pub out: usize,
+    pub bytes: usize,
+    /// Open flows by class, by position.
+    pub classes: Vec<usize>,
 }
 
 /// Where a target is reached, and who carries forwards there, by position among those plugged in.
@@ -302,26 +335,74 @@
         self.core.borrow_mut().facade.target(name)
     }
 
+    /// What operators have set, all of it.
+    pub fn steer(&self, steer: Steer) {
+        self.report(News::Steer(steer));
+    }
+
+    /// Whether the list names a target that has not left.
+    pub fn is_listed(&self, name: &str) -> bool {
+        let core = self.core.borrow();
+        core.targets.values().any(|t| &*t.name == name && t.stage != Stage::Gone)
+    }
+
+    /// The targets that have not left, by name.
+    pub fn targets(&self) -> Vec<Seen> {
+        let core = self.core.borrow();
+        let mut out: FxHashMap<TargetId, usize> = FxHashMap::default();
+        for forward in core.flows.values().filter_map(|f| f.out.as_ref()) {
+            *out.entry(forward.forward.target).or_default() += 1;
+        }
+        let listed = core.targets.iter().filter(|(_, t)| t.stage != Stage::Gone);
+        let mut seen: Vec<Seen> = listed
+            .map(|(id, Known { name, place, stage, zone, kind })| Seen {
+                name: name.clone(),
+                addr: place.addr,
+                stage: *stage,
+                zone: zone.clone(),
+                kind: kind.clone(),
+                out: out.get(id).copied().unwrap_or(0),
+            })
+            .collect();
+        seen.sort_by(|a, b| a.name.cmp(&b.name));
+        seen
+    }
+
+    /// Counts the open flows, of so many classes.
+    pub fn counted(&self, classes: usize) -> Counted {
+        let core = self.core.borrow();
+        let mut counted = Counted { bytes: core.bytes, classes: vec![0; classes], ..Counted::default() };
+        for flow in core.flows.values() {
+            counted.open += usize::from(flow.listener.is_some());
+            counted.out += usize::from(flow.out.is_some());
+            if let Some(count) = counted.classes.get_mut(flow.job.class) {
+                *count += usize::from(flow.listener.is_some());
+            }
+        }
+        counted
+    }
+
     /// News of the targets, with their addresses.
-    pub fn list(&self, kind: ListKind, entries: Vec<(Listed, Place)>) {
+    pub fn list(&self, kind: ListKind, entries: Vec<Entry>) {
         let effects = {
             let core = &mut *self.core.borrow_mut();
             let mut effects = Vec::new();
             if kind != ListKind::Delta {
-                let named: FxHashSet<TargetId> = entries.iter().map(|e| e.0.target).collect();
+                let named: FxHashSet<TargetId> = entries.iter().map(|e| e.listed.target).collect();
                 for (id, known) in core.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
                     known.stage = Stage::Gone;
                     effects.push(Effect::Closed(*id, known.place.carrier));
                 }
             }
-            for (listed, place) in &entries {
-                let name = core.facade.name(listed.target).into();
-                core.targets.insert(listed.target, Known { name, place: *place, stage: listed.stage });
+            for Entry { listed, place, zone, kind } in &entries {
+                let (name, stage) = (core.facade.name(listed.target).into(), listed.stage);
+                let known = Known { name, place: *place, stage, zone: zone.clone(), kind: kind.clone() };
+                core.targets.insert(listed.target, known);
                 if listed.stage != Stage::Ready {
                     effects.push(Effect::Closed(listed.target, place.carrier));
                 }
             }
-            let listed = entries.into_iter().map(|e| e.0).collect();
+            let listed = entries.into_iter().map(|e| e.listed).collect();
             let decisions = core.facade.report(News::List(kind, listed));
             effects.extend(core.effects(decisions, &self.watch));
             effects
@@ -455,12 +536,8 @@
         let flow = self.flows.get_mut(&ticket.flow)?;
         // Guards the rule that two attempts are never out, whatever was decided.
         if let Some(out) = &flow.out {
-            log!(
-                "flow {}: forward {} not made, {} is out",
-                ticket.flow.0,
-                ticket.number,
-                out.forward.ticket.number
-            );
+            let (flow, forward) = (ticket.flow.0, ticket.number);
+            error!(flow, forward, out = out.forward.ticket.number, "forward not made: another is out");
             return None;
         }
         let unreachable = known.is_none();
@@ -468,6 +545,8 @@
             name: "?".into(),
             place: Place { addr: ([127, 0, 0, 1], 0).into(), carrier: 0 },
             stage: Stage::Gone,
+            zone: "".into(),
+            kind: "".into(),
         });
         let forward = Forward {
             ticket,
@@ -507,6 +586,8 @@
         }
         let over = flow.listener.is_none();
         let (number, spent) = (ticket.number, out.sent.elapsed());
+        debug!(flow = ticket.flow.0, forward = number, target = %out.forward.name, class = flow.job.class,
+            outcome = ?outcome, spent_ms = spent.as_millis() as u64, "forward ended");
         let news = News::Ended { flow: ticket.flow, number, outcome, over, spent };
         let decisions = self.facade.report(news);
         effects.extend(self.effects(decisions, watch));
@@ -528,7 +609,7 @@
         if now < flow.until + OVERDUE {
             self.deadlines.insert((flow.until + OVERDUE, id));
         } else if let Some(listener) = flow.listener.take() {
-            log!("flow {}: unanswered at its deadline", id.0);
+            error!(flow = id.0, class = flow.job.class, "unanswered at its deadline");
             effects.push(Effect::Answer(listener, Answer::Failed));
             let decisions = self.facade.report(News::Left(id));
             effects.extend(self.effects(decisions, watch));
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -2,14 +2,15 @@
 //! fails the module says when to try again.
 
 use crate::facade::{ListKind, Listed, Stage};
-use crate::flow::{Flows, Place};
-use crate::log::log;
+use crate::flow::{Entry, Flows, Place};
 use crate::targets::http::HttpClient;
 use rustc_hash::FxHashMap;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
+use tracing::warn;
 
 /// How long a watch may wait for news. Guards against a discovery that has gone quiet, which shows only once
 /// the wait is over; what it had to tell counts as told all the same. A wait that ends without news costs
@@ -33,7 +34,7 @@
 }
 
 /// One worker in a list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
 pub struct Host {
     pub id: String,
     pub addr: SocketAddr,
@@ -49,7 +50,8 @@
     pub started_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+/// What a worker takes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     #[default]
@@ -81,7 +83,7 @@
 /// Hands a list to the core.
 pub fn take(flows: &Flows, names: &mut Names, list: &HostList, kind: ListKind) {
     // A worker that a list names twice counts as its last entry says.
-    let mut entries: FxHashMap<&str, (Listed, Place)> = FxHashMap::default();
+    let mut entries: FxHashMap<&str, Entry> = FxHashMap::default();
     for host in &list.servers {
         let listed = Listed {
             target: flows.target(&host.id),
@@ -96,10 +98,12 @@
             started_ms: host.started_ms,
         };
         let carrier = names.carriers.get(&host.kind).copied().unwrap_or(0);
-        entries.insert(&host.id, (listed, Place { addr: host.addr, carrier }));
+        let (zone, kind) = (host.zone.as_str().into(), host.kind.as_str().into());
+        let place = Place { addr: host.addr, carrier };
+        entries.insert(&host.id, Entry { listed, place, zone, kind });
     }
     let mut entries: Vec<_> = entries.into_values().collect();
-    entries.sort_by_key(|e| e.0.target.0);
+    entries.sort_by_key(|e| e.listed.target.0);
     flows.list(kind, entries);
 }
 
@@ -153,13 +157,13 @@
                         continue;
                     }
                     Err(e) => {
-                        log!("discovery: list not understood: {e}");
+                        warn!(discovery = %at, error = %e, "discovery: list not understood");
                         // What could not be read is asked for whole.
                         after = None;
                     }
                 },
-                Ok((status, _)) => log!("discovery: answered {status}"),
-                Err(e) => log!("discovery: {e}"),
+                Ok((status, _)) => warn!(discovery = %at, status, "discovery: no list came"),
+                Err(e) => warn!(discovery = %at, error = %e, "discovery: no list came"),
             }
             break;
         }
--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -10,7 +10,6 @@
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener};
 use crate::listeners::seats::{Seat, Seats, Stage};
-use crate::log::log;
 use bytes::Bytes;
 use command::Command;
 use std::cell::{Cell, RefCell};
@@ -21,6 +20,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tracing::warn;
 use tubes::{Client, Found, Tubes};
 
 /// Answers are made urgent for nobody, and stay with who reserved them for so long.
@@ -85,13 +85,13 @@
             let stream = match socket.accept().await {
                 Ok((stream, _)) => stream,
                 Err(e) => {
-                    log!("beanstalkd: accept: {e}");
+                    warn!(error = %e, "beanstalkd: accept");
                     tokio::time::sleep(Duration::from_millis(20)).await;
                     continue;
                 }
             };
             let Some(taken) = self.seats.take() else {
-                log!("beanstalkd: {} connections are in use: one more was closed", self.seats.count());
+                warn!(in_use = self.seats.count(), "beanstalkd: no seat: a connection was closed");
                 continue;
             };
             // Clients of this protocol may connect long before they have anything to say.
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -6,7 +6,6 @@
 use crate::config::Route;
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener, NotTaken};
-use crate::log::log;
 use crate::targets::http::{HttpTargets, JobNews};
 use actix_http::header::{self, HeaderMap};
 use actix_http::{
@@ -21,6 +20,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
+use tracing::warn;
 
 /// A body holds so much at most.
 pub const MAX_BODY: usize = 64 << 10;
@@ -147,7 +147,7 @@
                 Ok(accepted) => accepted,
                 Err(e) => {
                     // Out of descriptors, say: others may come free.
-                    log!("accept: {e}");
+                    warn!(error = %e, "accept");
                     tokio::time::sleep(Duration::from_millis(20)).await;
                     continue;
                 }
--- a/dispatcher/src/log.rs
+++ b/dispatcher/src/log.rs
@@ -1,39 +1,127 @@
-//! The one way to the log: lines on standard error, so many a second at most.
+//! The log: structured, on standard error, so many lines a second at most.
+//!
+//! Events go through `tracing`. A level that is off costs a load; what is written at `info` is written per
+//! event of the program's life or per fault, never per request.
 
-use std::cell::Cell;
+use clap::ValueEnum;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tracing::{Level, Metadata, Subscriber};
+use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
+use tracing_subscriber::registry::LookupSpan;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::Layer;
 
 /// Lines a second. A dead network makes every request fail: the log must not take the core then.
 const LINES_PER_SECOND: u32 = 50;
 
-thread_local! {
-    static SECOND: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+/// The form of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, ValueEnum)]
+pub enum Form {
+    /// A line an event, for people.
+    #[default]
+    Text,
+    /// A JSON object a line, for programs.
+    Json,
 }
 
-/// Whether a line may be written now; and how many were left out in the second that has just ended.
-pub fn admit(now: Instant) -> (bool, u32) {
-    let (began, count) = SECOND.get();
-    if began.is_none_or(|b| now.duration_since(b) >= Duration::from_secs(1)) {
-        SECOND.set((Some(now), 1));
-        return (true, count.saturating_sub(LINES_PER_SECOND));
+/// What is written at least.
+#[derive(Clone, Copy, Debug, Default, PartialEq, ValueEnum)]
+pub enum Threshold {
+    Error,
+    Warn,
+    #[default]
+    Info,
+    Debug,
+    Trace,
+}
+
+impl Threshold {
+    fn filter(self) -> LevelFilter {
+        LevelFilter::from_level(match self {
+            Threshold::Error => Level::ERROR,
+            Threshold::Warn => Level::WARN,
+            Threshold::Info => Level::INFO,
+            Threshold::Debug => Level::DEBUG,
+            Threshold::Trace => Level::TRACE,
+        })
     }
-    SECOND.set((began, count.saturating_add(1)));
-    (count < LINES_PER_SECOND, 0)
 }
 
-/// Writes a line to the log, unless there were too many this second.
-macro_rules! log {
-    ($($part:tt)*) => {{
-        let (admitted, left_out) = $crate::log::admit(std::time::Instant::now());
-        if left_out > 0 {
-            eprintln!("lineroute: {left_out} lines left out");
+/// Counts the lines of each second, and those left out.
+#[derive(Debug)]
+pub struct Limit {
+    start: Instant,
+    second: AtomicU64,
+    lines: AtomicU32,
+    left_out: AtomicU32,
+}
+
+impl Limit {
+    fn new() -> Self {
+        let (second, lines, left_out) = Default::default();
+        Limit { start: Instant::now(), second, lines, left_out }
+    }
+
+    /// Whether a line may be written at this moment.
+    fn admit(&self, now: Instant) -> bool {
+        let second = now.saturating_duration_since(self.start).as_secs();
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
         }
-        if admitted {
-            eprintln!("lineroute: {}", format_args!($($part)*));
+        let admitted = self.lines.fetch_add(1, Ordering::Relaxed) < LINES_PER_SECOND;
+        self.left_out.fetch_add(u32::from(!admitted), Ordering::Relaxed);
+        admitted
+    }
+
+    /// Lines left out since this was last asked.
+    fn take_left_out(&self) -> u32 {
+        self.left_out.swap(0, Ordering::Relaxed)
+    }
+}
+
+/// The limit as a filter of a layer.
+struct Limited(Arc<Limit>);
+
+impl<S: Subscriber> Filter<S> for Limited {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, _: &tracing::Event<'_>, _: &Context<'_, S>) -> bool {
+        self.0.admit(Instant::now())
+    }
+}
+
+fn layer<S: Subscriber + for<'a> LookupSpan<'a>>(form: Form) -> Box<dyn Layer<S> + Send + Sync> {
+    let plain = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
+    match form {
+        Form::Text => plain.boxed(),
+        Form::Json => plain.json().flatten_event(true).with_span_list(false).boxed(),
+    }
+}
+
+/// Starts the log for the whole process. To be called once; the limit is handed to [`report`].
+pub fn start(form: Form, threshold: Threshold) -> Arc<Limit> {
+    let limit = Arc::new(Limit::new());
+    let limited = layer(form).with_filter(Limited(limit.clone()));
+    // A second start, as in tests, changes nothing.
+    let _ = tracing_subscriber::registry().with(threshold.filter()).with(limited).try_init();
+    limit
+}
+
+/// Tells once a second how many lines were left out, if any were. Never ends.
+pub async fn report(limit: Arc<Limit>) {
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let left_out = limit.take_left_out();
+        if left_out > 0 {
+            tracing::warn!(left_out, "lines were left out of the log");
         }
-    }};
+    }
 }
-pub(crate) use log;
 
 #[cfg(test)]
 mod tests {
@@ -41,9 +129,11 @@
 
     #[test]
     fn a_flood_is_cut_and_counted() {
-        let start = Instant::now();
-        let written = (0..200).filter(|_| admit(start).0).count();
-        assert_eq!(written, LINES_PER_SECOND as usize);
-        assert_eq!(admit(start + Duration::from_secs(1)), (true, 200 - LINES_PER_SECOND));
+        let limit = Limit::new();
+        let start = limit.start;
+        let written = (0..200).filter(|_| limit.admit(start)).count();
+        assert_eq!((written, limit.take_left_out()), (LINES_PER_SECOND as usize, 200 - LINES_PER_SECOND));
+        assert!(limit.admit(start + Duration::from_secs(1)));
+        assert_eq!(limit.take_left_out(), 0);
     }
 }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -1,7 +1,9 @@
 //! lineroute: takes jobs from clients and pushes them to workers. One thread runs it all.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod beanstalkd;
+mod cli;
 mod config;
 mod facade;
 mod flow;
@@ -9,27 +11,34 @@
 mod listeners;
 mod log;
 mod nginx;
+mod overrides;
+mod peers;
+mod store;
 mod targets;
 
-use config::{Config, Occasion};
+use cli::RunArgs;
+use config::{Config, Faults, Occasion, Sources};
 use facade::{Facade, ListKind};
 use flow::{Bounds, Flows};
+use lineroute_control::overrides::Table;
 use list::Names;
 use listeners::beanstalkd::BeanstalkdListener;
 use listeners::http::{HttpListener, Phase, Vocabulary};
 use listeners::seats::Seats;
-use log::log;
+use overrides::Overrides;
 use rustc_hash::FxHashMap;
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use store::Store;
 use targets::beanstalkd::BeanstalkdTargets;
 use targets::http::{HttpClient, HttpTargets};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
+use tracing::{info, info_span, warn};
 
 /// After SIGTERM clients keep coming for a while: so long they are served.
 const KEEP_TAKING: Duration = Duration::from_millis(700);
@@ -41,64 +50,96 @@
 /// How long answers that beanstalkd clients have not fetched are kept once everything else is done.
 const KEEP_ANSWERS: Duration = Duration::from_secs(5);
 
-const USAGE: &str = "usage: lineroute [--operator FILE] | lineroute import-nginx FILE";
-
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let done = match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        [] => start(None),
-        ["--operator", file] => start(Some(file)),
-        ["import-nginx", file] => import(file),
-        _ => Err(USAGE.into()),
-    };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("lineroute: {message}");
-            ExitCode::FAILURE
-        }
-    }
+    cli::main(start)
 }
 
-fn start(operator: Option<&str>) -> Result<(), String> {
-    let config = read(operator, Occasion::Start)?;
-    actix_rt::System::new().block_on(run(config, operator.map(str::to_owned)))
+fn start(args: RunArgs) -> Result<(), String> {
+    let sources: Sources = args.sources.into();
+    let config = read(&sources, Occasion::Start).map_err(|faults| faults.to_string())?;
+    let limit = log::start(args.log_format, args.log);
+    actix_rt::System::new().block_on(async {
+        // This thread does all of it: whatever is logged is this dispatcher's.
+        let _dispatcher = info_span!("lineroute", dispatcher = %config.name).entered();
+        actix_rt::spawn(log::report(limit));
+        run(config, sources).await
+    })
 }
 
-fn read(operator: Option<&str>, occasion: Occasion) -> Result<Config, String> {
-    config::read(|key| std::env::var(key).ok(), operator, occasion)
+fn read(sources: &Sources, occasion: Occasion) -> Result<Config, Faults> {
+    config::read(|key| std::env::var(key).ok(), sources, occasion)
 }
 
-/// Writes the operator's settings that nginx blocks amount to.
-fn import(file: &str) -> Result<(), String> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
-    let operator = nginx::import(&text).map_err(|e| format!("{file}: {e}"))?;
-    let json = serde_json::to_string_pretty(&operator).map_err(|e| e.to_string())?;
-    println!("{json}");
-    Ok(())
+/// What a reload hands new settings to.
+#[derive(Default)]
+struct Reloaded {
+    peers: Option<peers::Handle>,
+    admin: Option<admin::Handle>,
 }
 
-/// On each SIGHUP reads the configuration again and goes over to its discovery. What can't be used changes
-/// nothing. Never ends.
-async fn reload(mut hangup: Signal, operator: Option<String>, discovery: watch::Sender<Option<SocketAddr>>) {
+/// On each SIGHUP reads the configuration again, goes over to its discovery and to the keys in its key files.
+/// What can't be used changes nothing. Never ends.
+async fn reload(
+    mut hangup: Signal,
+    sources: Sources,
+    discovery: watch::Sender<Option<SocketAddr>>,
+    reloaded: Rc<OnceCell<Reloaded>>,
+) {
     while hangup.recv().await.is_some() {
-        match read(operator.as_deref(), Occasion::Reload) {
+        match read(&sources, Occasion::Reload) {
             Ok(config) => {
-                log!("SIGHUP: the configuration was read again");
+                info!("SIGHUP: the configuration was read again");
                 discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+                let Some(Reloaded { peers, admin }) = reloaded.get() else { continue };
+                if let (Some(handle), Some(peers)) = (peers, config.peers) {
+                    handle.rekey(peers.keys);
+                }
+                if let (Some(handle), Some(admin)) = (admin, config.admin) {
+                    handle.rekey(admin.keys);
+                }
             }
-            Err(message) => log!("SIGHUP: the old settings stay: {message}"),
+            Err(faults) => faults.iter().for_each(|fault| warn!(fault, "SIGHUP: the old settings stay")),
         }
     }
 }
 
-async fn run(config: Config, operator: Option<String>) -> Result<(), String> {
+/// Starts what overrides need, as far as the operator's file asks for it.
+async fn control(config: &mut Config, flows: &Flows) -> Result<Reloaded, String> {
+    let (classes, tenants) = (config.site.classes.clone(), config.site.tenants.clone());
+    if config.admin.is_none() && config.peers.is_none() && config.state_dir.is_none() {
+        return Ok(Reloaded::default());
+    }
+    let mut table = Table::new(&config.name, config.longest);
+    let store = config.state_dir.as_deref().map(Store::open).transpose()?;
+    if let Some(store) = &store {
+        store.load(&mut table);
+    }
+    let overrides = Overrides::new(table, flows.clone(), classes.clone(), tenants);
+    actix_rt::spawn(overrides.clone().run());
+    let store = store.map(|store| store.start(overrides.clone()));
+    let peers = match config.peers.take() {
+        Some(peers) => Some(peers::start(peers, overrides.clone()).await?),
+        None => None,
+    };
+    let admin = match config.admin.take() {
+        Some(admin) => {
+            let (dispatcher, flows, peers) = (config.name.clone(), flows.clone(), peers.clone());
+            let calls = admin::Calls { dispatcher, classes, flows, overrides, peers, store };
+            Some(admin::start(admin, calls).await?)
+        }
+        None => None,
+    };
+    Ok(Reloaded { peers, admin })
+}
+
+async fn run(mut config: Config, sources: Sources) -> Result<(), String> {
     // First of all: a signal that nobody waits for ends the program.
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let (discovery, discovery_at) = watch::channel(config.discovery);
-    actix_rt::spawn(reload(hangup, operator, discovery));
-    let Config { site, routes, known, .. } = config;
+    let reloaded = Rc::new(OnceCell::new());
+    actix_rt::spawn(reload(hangup, sources, discovery, reloaded.clone()));
+    let site = config.site.clone();
     let deadlines = site.settings.classes.iter().map(|c| Duration::from_micros(c.deadline));
     let words = Vocabulary {
         classes: site.classes.iter().cloned().zip(deadlines).collect(),
@@ -118,9 +159,12 @@
         carriers.insert(workers.kind.clone(), flows.plug(Rc::new(carrier)));
     }
     let mut names = Names { zones: site.zones, kinds: site.kinds, carriers };
-    if let Some(known) = &known {
+    if let Some(known) = &config.known {
         list::take(&flows, &mut names, known, ListKind::Cached);
     }
+    let control = control(&mut config, &flows).await?;
+    let _ = reloaded.set(control);
+    let Config { routes, known, .. } = config;
     let socket = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     let prefix = format!("{}-{:x}", config.name, config.seed);
     let mut front = None;
@@ -128,13 +172,13 @@
         let socket =
             TcpListener::bind(settings.listen).await.map_err(|e| format!("beanstalkd.listen: {e}"))?;
         let listen = socket.local_addr().map_err(|e| e.to_string())?;
-        log!("{} listens to beanstalkd clients at {listen}", config.name);
+        info!(addr = %listen, "listens to beanstalkd clients");
         let listener = BeanstalkdListener::new(flows.clone(), settings, prefix.clone());
         actix_rt::spawn(listener.clone().serve(socket));
         front = Some(listener);
     }
     let listen = socket.local_addr().map_err(|e| e.to_string())?;
-    log!("{} listens at {listen}", config.name);
+    info!(addr = %listen, "listens");
     let clock = flows.clone();
     actix_rt::spawn(async move { clock.run_clock().await });
     let version = known.map(|k| k.version);
@@ -160,7 +204,7 @@
     actix_rt::spawn(Rc::new(listener).serve(socket));
 
     term.recv().await;
-    log!("SIGTERM: {} flows are open", flows.owed());
+    info!(flows = flows.owed(), "SIGTERM: stopping");
     phase.close();
     front.iter().for_each(|f| f.stop());
     tokio::time::sleep(KEEP_TAKING).await;
--- /dev/null
+++ b/dispatcher/src/peers/mod.rs
@@ -0,0 +1,127 @@
+//! Datagrams to and from the other dispatchers of the tier. What is said is `lineroute_control::peers`; here
+//! are the socket and the rounds.
+
+use crate::config::Peers;
+use crate::overrides::{now, Overrides};
+use lineroute_control::peers::{Counts, Gossip, KeyRing, Outgoing, MAX_DATAGRAM};
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{interval, MissedTickBehavior};
+use tracing::{info, warn};
+
+/// Between two rounds.
+const ROUND: Duration = Duration::from_millis(200);
+/// Datagrams that are taken in before others on this thread get their turn: a flood must not hold up clients.
+const IN_ONE_GO: usize = 32;
+/// What can't be believed is told of this often at most.
+const TELL_EVERY: Duration = Duration::from_secs(10);
+
+/// The talk as others see it.
+#[derive(Clone)]
+pub struct Handle(Rc<RefCell<Gossip>>);
+
+impl Handle {
+    /// Goes over to other keys.
+    pub fn rekey(&self, keys: KeyRing) {
+        self.0.borrow_mut().rekey(keys);
+    }
+
+    /// What has come and gone.
+    pub fn counts(&self) -> Counts {
+        self.0.borrow().counts()
+    }
+}
+
+/// Binds the socket and begins to talk.
+///
+/// # Errors
+/// The address can't be bound, or the system has no random numbers.
+pub async fn start(config: Peers, overrides: Overrides) -> Result<Handle, String> {
+    let Peers { listen, others, keys } = config;
+    let socket = UdpSocket::bind(listen).await.map_err(|e| format!("peer_listen: {listen}: {e}"))?;
+    let mut seed = [0; 32];
+    getrandom::fill(&mut seed).map_err(|e| format!("peers: no random numbers: {e}"))?;
+    let at = socket.local_addr().map_err(|e| format!("peer_listen: {e}"))?;
+    info!(addr = %at, peers = others.len(), "talks with peers");
+    let gossip = Rc::new(RefCell::new(Gossip::new(&others, keys, seed)));
+    overrides.talk();
+    let talk = Talk { socket, gossip: gossip.clone(), overrides };
+    actix_rt::spawn(talk.run());
+    Ok(Handle(gossip))
+}
+
+struct Talk {
+    socket: UdpSocket,
+    gossip: Rc<RefCell<Gossip>>,
+    overrides: Overrides,
+}
+
+impl Talk {
+    async fn run(self) {
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut tell = interval(TELL_EVERY);
+        let mut told = Counts::default();
+        loop {
+            // Every branch may be dropped at its await: nothing has been taken out of the socket or the
+            // queue by then.
+            tokio::select! {
+                ready = self.socket.readable() => match ready {
+                    Ok(()) => {
+                        self.take();
+                        tokio::task::yield_now().await;
+                    }
+                    Err(e) => {
+                        warn!(error = %e, "peers: the socket fails");
+                        tokio::time::sleep(ROUND).await;
+                    }
+                },
+                _ = rounds.tick() => {
+                    let out = self.overrides.with(|table| self.gossip.borrow_mut().tick(table));
+                    self.send(out);
+                }
+                fresh = self.overrides.take_fresh() => {
+                    let out: Vec<Outgoing> =
+                        fresh.iter().flat_map(|r| self.gossip.borrow_mut().announce(r)).collect();
+                    self.send(out);
+                }
+                _ = tell.tick() => {
+                    let counts = self.gossip.borrow().counts();
+                    let faults = |c: &Counts| [c.malformed, c.unauthentic, c.strangers, c.refused];
+                    if faults(&counts) != faults(&told) {
+                        let Counts { malformed, unauthentic, replayed, strangers, refused, .. } = counts;
+                        warn!(malformed, unauthentic, replayed, strangers, refused, "peers: datagrams not believed");
+                    }
+                    told = counts;
+                }
+            }
+        }
+    }
+
+    /// Takes in what has come, up to a bound.
+    fn take(&self) {
+        // One more than the longest: a longer one must not look like one that fits.
+        let mut bytes = [0; MAX_DATAGRAM + 1];
+        for _ in 0..IN_ONE_GO {
+            let (size, from) = match self.socket.try_recv_from(&mut bytes) {
+                Ok(came) => came,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // What a datagram of ours met elsewhere: a peer that is down.
+                Err(_) => continue,
+            };
+            let datagram = &bytes[..size];
+            let out = self.overrides.with(|t| self.gossip.borrow_mut().receive(now(), from, datagram, t));
+            self.send(out);
+        }
+    }
+
+    fn send(&self, out: Vec<Outgoing>) {
+        for (to, bytes) in out {
+            // One that is not sent is one that is lost.
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+    }
+}
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -9,7 +9,6 @@
 use crate::config::BeanstalkdWorkers;
 use crate::facade::{Outcome, TargetId};
 use crate::flow::{Flows, Forward, Target, Ticket};
-use crate::log::log;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use rustc_hash::FxHashMap;
@@ -23,6 +22,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tracing::warn;
 
 /// How long a server may take to answer a command that waits for nothing.
 const EXCHANGE_WITHIN: Duration = Duration::from_secs(2);
@@ -284,7 +284,7 @@
                 false
             }
             _ => {
-                log!("beanstalkd server {}: put answered {reply:?}", server.addr);
+                warn!(server = %server.addr, reply = ?reply, "beanstalkd server: put was not taken");
                 self.flows.ended(ticket, Outcome::Fault, None);
                 true
             }
@@ -316,7 +316,7 @@
     /// Takes up what a worker says of a job.
     fn answer(&self, server: &Server, body: &Bytes) {
         let Some((id, word, result)) = read_answer(body) else {
-            log!("beanstalkd server {}: a job in the answers tube is no answer", server.addr);
+            warn!(server = %server.addr, "beanstalkd server: a job in the answers tube is no answer");
             return;
         };
         let ticket = server.out.borrow().get(&id).copied();
@@ -333,7 +333,7 @@
             "failed" => Outcome::Fault,
             "refused" => Outcome::NoRoom,
             _ => {
-                log!("beanstalkd server {}: {word:?} is no word for what became of a job", server.addr);
+                warn!(server = %server.addr, word, "beanstalkd server: no word for what became of a job");
                 return;
             }
         };
@@ -359,7 +359,7 @@
                     let lost: Vec<Ticket> = server.out.borrow_mut().drain().map(|(_, t)| t).collect();
                     lost.into_iter().for_each(|ticket| self.flows.ended(ticket, Outcome::Cut, None));
                 }
-                Err(e) => log!("beanstalkd server {}: {e}", server.addr),
+                Err(e) => warn!(server = %server.addr, error = %e, "beanstalkd server: connection lost"),
             }
             tokio::time::sleep(wait).await;
             wait = (wait * 2).min(RETRY.1);
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -239,12 +239,17 @@
         }
         let mut child = command.spawn().expect("the program starts");
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let mut address = || {
+        let mut front = None;
+        // Each listener tells its address; the platform's is the last.
+        let addr = loop {
             let line = lines.next().expect("a line").expect("text");
-            line.rsplit(' ').next().and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("{line}"))
+            let addr = line.rsplit_once("addr=").and_then(|(_, a)| a.parse().ok());
+            if line.contains("listens to beanstalkd clients") {
+                front = addr;
+            } else if line.contains(": listens ") {
+                break addr.unwrap_or_else(|| panic!("{line}"));
+            }
         };
-        let front = operator.filter(|o| o.contains("listen")).map(|_| address());
-        let addr = address();
         let (sender, log) = channel();
         thread::spawn(move || lines.map_while(Result::ok).all(|line| sender.send(line).is_ok()));
         Rig { child, addr, workers: Vec::new(), listed, list, dir, log, front }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -17,6 +17,8 @@
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     pub connect_timeout: Micros,
+    /// Dispatchers may send one another datagrams.
+    pub peers: bool,
 }
 
 #[derive(Deserialize)]
@@ -114,6 +116,7 @@
     parallel_tries: bool,
     keepalive_ms: f64,
     connect_timeout_ms: f64,
+    peers: bool,
 }
 
 impl Default for RawAllowed {
@@ -129,6 +132,7 @@
             parallel_tries: false,
             keepalive_ms: 0.0,
             connect_timeout_ms: 1_000.0,
+            peers: false,
         }
     }
 }
@@ -272,6 +276,7 @@
         zones: raw.azs,
         kinds: raw.skus,
         connect_timeout: micros(raw.allowed.connect_timeout_ms),
+        peers: raw.allowed.peers,
         settings,
     })
 }
