--- /dev/null
+++ b/benches/pick.rs
@@ -0,0 +1,119 @@
+//! What a decision costs, by how many overrides are in force. `cargo bench --bench pick`.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use lineroute::*;
+use std::hint::black_box;
+
+const MS: Micros = 1000;
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: 500 * MS,
+        stretch: 1.0,
+        deadline: 5000 * MS,
+        late_share: 0.2,
+        worth: 1.0,
+        effect: Effect::Repeatable,
+        kind: None,
+        zones: None,
+        kinds: None,
+    };
+    Settings {
+        instances: 1,
+        classes: vec![class; 3],
+        tenants: vec![],
+        discovery: Discovery::Push,
+        report: ReportSource::Silent,
+        allowed: Allowed {
+            cancel: true,
+            probe: false,
+            max_retry_after: 2000 * MS,
+            max_attempts: 3,
+            most_held: 10_000,
+            parallel: false,
+            keepalive: 60_000 * MS,
+        },
+        rules: Rules {
+            ask_within: 10_000 * MS,
+            cold_from: 0.1,
+            warm_up: 20_000 * MS,
+            overload_factor: 3.0,
+            overload_for: 2000 * MS,
+            may_shed_begun: false,
+            dropped_stay_open: false,
+        },
+        progress: 0,
+        tells_start: false,
+        zone: None,
+        worth_by_work: false,
+        prices: Prices::default(),
+        tail_slack: None,
+    }
+}
+
+/// A balancer that knows so many workers, and how they answer.
+fn warmed(workers: u32) -> (Balancer, Micros) {
+    let mut balancer = Balancer::new(settings(), 7).expect("sound settings");
+    let entry = |w: u32| WorkerEntry {
+        worker: WorkerId(w),
+        zone: ZoneId(w % 2),
+        kind: KindId(0),
+        cell: CellId(w / 2),
+        stage: Stage::Ready,
+        started: None,
+    };
+    let mut actions = Vec::new();
+    balancer.handle(0, Event::Workers(ListKind::Full, (0..workers).map(entry).collect()), &mut actions);
+    let mut now = 1;
+    for id in 0..u64::from(workers) * 4 {
+        now = serve(&mut balancer, id, now, &mut actions);
+    }
+    (balancer, now)
+}
+
+/// One request from its arrival to its end; the time after it.
+fn serve(balancer: &mut Balancer, id: u64, now: Micros, actions: &mut Vec<Action>) -> Micros {
+    actions.clear();
+    let id = RequestId(id.to_string().into());
+    let (class, deadline) = (ClassId((now % 3) as usize), now + 5000 * MS);
+    let request = Request { id: id.clone(), class, tenant: None, key: None, deadline, slots: 1.0 };
+    balancer.handle(now, Event::Request(request), actions);
+    let (outcome, attempt, spent) = (Outcome::Served, AttemptNo(0), 50 * MS);
+    let end = Closed { id, attempt, outcome, complete: true, spent, report: None };
+    balancer.handle(now + 50, Event::Closed(end), actions);
+    black_box(actions.len());
+    now + 100
+}
+
+/// So many overrides: weights over the workers in turn, a tenth out of service beside them, pins of tenants.
+fn overrides(count: u32, workers: u32) -> Overrides {
+    let weights: Vec<_> = (0..count.min(workers)).map(|w| (WorkerId(w), 0.5 + f64::from(w % 4))).collect();
+    let barred: Vec<_> = (0..count / 10).map(|w| WorkerId(workers + w)).collect();
+    let rest = count as usize - weights.len().min(count as usize);
+    let pins = (0..rest).map(|t| (ClassId(t % 3), Some(TenantId(t)), WorkerId(t as u32 % workers)));
+    Overrides { weights, barred, pins: pins.collect() }
+}
+
+fn pick(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("request");
+    for workers in [20, 1000] {
+        for count in [0, 10, 1000] {
+            let (mut balancer, mut now) = warmed(workers);
+            let mut actions = Vec::new();
+            let set = Event::Overrides(overrides(count, workers));
+            balancer.handle(now, set, &mut actions);
+            let mut id = 1 << 32;
+            let name = BenchmarkId::new(format!("{workers} workers"), format!("{count} overrides"));
+            group.bench_function(name, |bencher| {
+                bencher.iter(|| {
+                    id += 1;
+                    now = serve(&mut balancer, id, now, &mut actions);
+                })
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, pick);
+criterion_main!(benches);
