--- a/dispatcher/src/config/faults.rs
+++ b/dispatcher/src/config/faults.rs
@@ -80,10 +80,9 @@
     None
 }
 
-fn peel<T: DeserializeOwned>(source: &str, mut value: Value, faults: &mut Faults) {
-    // Paths as the file has them; those in `value` differ where elements have been left out.
-    let mut left_out: Vec<Vec<Step>> = Vec::new();
-    while let Err(e) = serde_path_to_error::deserialize::<_, T>(&value) {
+fn peel<T: DeserializeOwned>(source: &str, value: Value, faults: &mut Faults) {
+    peel_with(source, value, faults, |value| {
+        let Err(e) = serde_path_to_error::deserialize::<_, T>(value) else { return Ok(()) };
         let mut path: Vec<Step> = Vec::new();
         for segment in e.path() {
             match segment {
@@ -92,7 +91,41 @@
                 Segment::Enum { .. } | Segment::Unknown => break,
             }
         }
-        let words = e.into_inner().to_string();
+        Err((path, e.into_inner().to_string()))
+    });
+}
+
+/// Notes all that is wrong with the platform's settings.
+pub fn settings(value: Value, faults: &mut Faults) {
+    peel_with("GW_CONFIG: setting", value, faults, |value| {
+        let Err(words) = lineroute_settings::parse(&value.to_string()) else { return Ok(()) };
+        let words = words.strip_prefix("setting ").unwrap_or(&words);
+        let (path, words) = words.split_once(": ").unwrap_or(("", words));
+        Err((read_path(path), words.to_owned()))
+    });
+}
+
+/// Reads a path such as `classes[1].aim` back.
+fn read_path(text: &str) -> Vec<Step> {
+    let mut path = Vec::new();
+    for part in text.split('.').filter(|p| !p.is_empty()) {
+        let mut pieces = part.split('[');
+        path.extend(pieces.next().filter(|key| !key.is_empty()).map(|key| Step::Key(key.into())));
+        path.extend(pieces.filter_map(|p| p.strip_suffix(']')?.parse().ok()).map(Step::Index));
+    }
+    path
+}
+
+/// Notes what `read` says of the value, leaves it out, and reads again, until nothing more is found.
+fn peel_with(
+    source: &str,
+    mut value: Value,
+    faults: &mut Faults,
+    read: impl Fn(&Value) -> Result<(), (Vec<Step>, String)>,
+) {
+    // Paths as the file has them; those in `value` differ where elements have been left out.
+    let mut left_out: Vec<Vec<Step>> = Vec::new();
+    while let Err((mut path, words)) = read(&value) {
         let named = |kind: &str| words.strip_prefix(kind)?.split('`').nth(1).map(str::to_owned);
         if let Some(field) = named("unknown field ") {
             let unnamed = path.last() != Some(&Step::Key(field.clone()));
@@ -109,7 +142,12 @@
             let key = if at.is_empty() { source.to_owned() } else { format!("{source}: {at}") };
             faults.add(key, &words);
         }
-        if !remove(&mut value, &path) {
+        // Some settings are named without their unit.
+        let with_unit = path.split_last().and_then(|(last, way)| match last {
+            Step::Key(key) => Some([way, &[Step::Key(format!("{key}_ms"))]].concat()),
+            Step::Index(_) => None,
+        });
+        if !remove(&mut value, &path) && !with_unit.is_some_and(|path| remove(&mut value, &path)) {
             return;
         }
         left_out.push(original);
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -265,9 +265,14 @@
     };
     let seed = faults.take(seed);
     let added = faults.take(add_classes(&mut raw.settings, &operator));
-    let settings = Value::Object(std::mem::take(&mut raw.settings)).to_string();
-    let site = lineroute_settings::parse(&settings).map_err(|e| format!("GW_CONFIG: {e}"));
-    let site = added.and_then(|()| faults.take(site));
+    let settings = Value::Object(std::mem::take(&mut raw.settings));
+    let site = added.and_then(|()| match lineroute_settings::parse(&settings.to_string()) {
+        Ok(site) => Some(site),
+        Err(_) => {
+            faults::settings(settings, faults);
+            None
+        }
+    });
     let RawLimits { memory_mb, sockets } = raw.limits;
     if sockets < OTHER_SOCKETS * 2 {
         faults.add("GW_CONFIG: limits.sockets", format!("{sockets} is under {}", OTHER_SOCKETS * 2));
--- a/dispatcher/tests/command_line.rs
+++ b/dispatcher/tests/command_line.rs
@@ -81,6 +81,18 @@
         assert!(said.contains(key), "{key} is not named:\n{said}");
     }
     assert!(said.lines().count() >= 16, "{said}");
+    // All that is wrong with the settings too.
+    let (_, _, said) = check(
+        "{}",
+        &r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {
+        "classes": [{"name": "a", "aim_ms": 0, "deadline_ms": 1, "effect": "sometimes"},
+            {"name": "b", "aim_ms": "soon", "deadline_ms": 5, "effect": "once"},
+            {"name": "c", "aim_ms": 5, "deadline_ms": 5, "effect": "never"}],
+        "rules": {"cold_from": 0}, "discovery": "sideways", "allowed": {"max_attempts": 0}}}"#,
+    );
+    for key in ["classes[0].effect", "classes[1].aim_ms", "classes[2].effect", "discovery"] {
+        assert!(said.contains(key), "{key} is not named:\n{said}");
+    }
     // The same at a start, and of a file that is of the wrong form.
     let (code, _, said) =
         check(r#"{"admin": {"listen": 7}, "routes": [{"path": 1}], "hosts": {}, "more": 1}"#, "{}");
