--- a/dispatcher/src/admin/api.rs
+++ b/dispatcher/src/admin/api.rs
@@ -161,6 +161,9 @@
     pub forwards: usize,
     /// Bytes of bodies held.
     pub bytes: usize,
+    /// Bodies in passage, and the bytes of them that are held.
+    pub streams: usize,
+    pub stream_bytes: usize,
     /// Open flows by class.
     pub classes: BTreeMap<String, usize>,
     /// Datagrams of the talk with peers, where it is on.
--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -3,6 +3,7 @@
 use super::api::{
     ClearOrder, Done, Fault, FlowCounts, Overridden, OverrideLine, PeerCounts, SetOrder, WorkerLine, Workers,
 };
+use crate::body::Budgets;
 use crate::facade::Stage;
 use crate::flow::Flows;
 use crate::overrides::{now, Overrides};
@@ -22,6 +23,7 @@
     pub dispatcher: String,
     pub classes: Vec<String>,
     pub flows: Flows,
+    pub budgets: Budgets,
     pub overrides: Overrides,
     pub peers: Option<peers::Handle>,
     pub store: Option<store::Handle>,
@@ -114,7 +116,10 @@
                 peers.counts();
             PeerCounts { sent, taken, learnt, malformed, unauthentic, replayed, strangers, refused }
         });
+        let (stream_bytes, streams) = self.budgets.held();
         FlowCounts {
+            streams,
+            stream_bytes,
             dispatcher: self.dispatcher.clone(),
             open: counted.open,
             forwards: counted.out,
--- a/dispatcher/src/beanstalkd.rs
+++ b/dispatcher/src/beanstalkd.rs
@@ -87,7 +87,8 @@
     let (word, after, result) = match answer {
         Answer::Served(result) => ("served", Duration::ZERO, &result[..]),
         Answer::Refused(after) => ("refused", *after, &b""[..]),
-        Answer::Failed => ("failed", Duration::ZERO, &b""[..]),
+        // Only a front that brought an HTTP head gets an answer that passes.
+        Answer::Passing(_) | Answer::Failed => ("failed", Duration::ZERO, &b""[..]),
     };
     let mut body = format!("{id} {word} {:.3}\n", after.as_secs_f64()).into_bytes();
     body.extend_from_slice(result);
--- /dev/null
+++ b/dispatcher/src/body.rs
@@ -0,0 +1,410 @@
+//! Bodies of flows: whole, or streams in bounded memory. What may be held and what may be sent again is
+//! decided in `lineroute_stream`; here bytes and wakers meet its decisions.
+//!
+//! All of it lives on one thread. No borrow is held over an await.
+
+use bytes::Bytes;
+use lineroute_stream::{Budget, Replay, Reread, Share};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::fmt;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+/// The memory that all streams share.
+#[derive(Clone)]
+pub struct Budgets(Rc<RefCell<Budget>>);
+
+impl Budgets {
+    pub fn new(total: usize, floor: usize, ceiling: usize) -> Self {
+        Budgets(Rc::new(RefCell::new(Budget::new(total, floor, ceiling))))
+    }
+
+    /// A stream; `None` if there is no room for one more.
+    pub fn stream(&self) -> Option<(Writer, Reader)> {
+        let share = self.0.borrow_mut().open()?;
+        let stream = Rc::new(Stream {
+            budget: self.clone(),
+            state: RefCell::new(State {
+                share: Some(share),
+                queue: VecDeque::new(),
+                kept: 0,
+                end: None,
+                reader_gone: false,
+                reader: None,
+                writer: None,
+            }),
+        });
+        Some((Writer(stream.clone()), Reader(stream)))
+    }
+
+    /// Bytes held, and streams open.
+    pub fn held(&self) -> (usize, usize) {
+        let budget = self.0.borrow();
+        (budget.held(), budget.open_streams())
+    }
+}
+
+/// How a stream came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Whole,
+    /// In the middle: what has come is not all.
+    Broken,
+}
+
+struct State {
+    /// `None` only while the stream is dropped.
+    share: Option<Share>,
+    queue: VecDeque<Bytes>,
+    /// Bytes that were read and are held all the same, to be sent again.
+    kept: usize,
+    end: Option<Ended>,
+    reader_gone: bool,
+    reader: Option<Waker>,
+    writer: Option<Waker>,
+}
+
+struct Stream {
+    budget: Budgets,
+    state: RefCell<State>,
+}
+
+impl Stream {
+    /// Sets what the stream holds by what it has.
+    fn account(&self, state: &mut State) {
+        let State { share, queue, kept, .. } = state;
+        let held = queue.iter().map(Bytes::len).sum::<usize>() + *kept;
+        if let Some(share) = share {
+            let mut budget = self.budget.0.borrow_mut();
+            let before = share.held();
+            budget.take(share, held.saturating_sub(before));
+            budget.give(share, before.saturating_sub(held));
+        }
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if let Some(share) = self.state.get_mut().share.take() {
+            self.budget.0.borrow_mut().close(share);
+        }
+    }
+}
+
+/// Where bytes go in. Dropped before the end was said, it breaks the stream off.
+pub struct Writer(Rc<Stream>);
+
+impl Writer {
+    /// Resolves when there is room, to how much; `None`: nobody reads any more.
+    pub async fn room(&self) -> Option<usize> {
+        std::future::poll_fn(|cx| self.poll_room(cx)).await
+    }
+
+    fn poll_room(&self, cx: &mut Context<'_>) -> Poll<Option<usize>> {
+        let state = &mut *self.0.state.borrow_mut();
+        if state.reader_gone {
+            return Poll::Ready(None);
+        }
+        let room = state.share.as_ref().map_or(0, |share| self.0.budget.0.borrow().room(share));
+        if room > 0 {
+            return Poll::Ready(Some(room));
+        }
+        state.writer = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Adds bytes. More than there was room for is held all the same: the caller brings little at a time.
+    pub fn push(&self, bytes: Bytes) {
+        let state = &mut *self.0.state.borrow_mut();
+        if bytes.is_empty() || state.reader_gone {
+            return;
+        }
+        state.queue.push_back(bytes);
+        self.0.account(state);
+        state.reader.take().map(Waker::wake).unwrap_or_default();
+    }
+
+    /// Says the end.
+    pub fn end(&self, ended: Ended) {
+        let state = &mut *self.0.state.borrow_mut();
+        if state.end.is_none() {
+            state.end = Some(ended);
+            state.reader.take().map(Waker::wake).unwrap_or_default();
+        }
+    }
+
+    /// Resolves when nobody reads any more.
+    pub async fn gone(&self) {
+        std::future::poll_fn(|cx| {
+            let state = &mut *self.0.state.borrow_mut();
+            if state.reader_gone {
+                return Poll::Ready(());
+            }
+            state.writer = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.end(Ended::Broken);
+    }
+}
+
+/// Where bytes come out. Dropped, it tells the writer.
+pub struct Reader(Rc<Stream>);
+
+impl Reader {
+    /// The next bytes, or the end.
+    pub fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Result<Bytes, Ended>> {
+        let state = &mut *self.0.state.borrow_mut();
+        if let Some(bytes) = state.queue.pop_front() {
+            self.0.account(state);
+            state.writer.take().map(Waker::wake).unwrap_or_default();
+            return Poll::Ready(Ok(bytes));
+        }
+        match state.end {
+            Some(ended) => Poll::Ready(Err(ended)),
+            None => {
+                state.reader = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        }
+    }
+
+    /// So many bytes that were read are held.
+    fn keep(&self, kept: usize) {
+        let state = &mut *self.0.state.borrow_mut();
+        state.kept = kept;
+        self.0.account(state);
+        state.writer.take().map(Waker::wake).unwrap_or_default();
+    }
+
+    /// Whether what is kept leaves the writer no room.
+    fn is_cramped(&self) -> bool {
+        let state = self.0.state.borrow();
+        let room = state.share.as_ref().map_or(0, |share| self.0.budget.0.borrow().room(share));
+        room == 0 && state.queue.is_empty() && state.kept > 0
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        let state = &mut *self.0.state.borrow_mut();
+        state.reader_gone = true;
+        state.queue.clear();
+        state.kept = 0;
+        self.0.account(state);
+        state.writer.take().map(Waker::wake).unwrap_or_default();
+    }
+}
+
+/// A client's body as attempts read it: from its beginning, as long as that is held.
+#[derive(Clone)]
+pub struct Upload(Rc<RefCell<Source>>);
+
+struct Source {
+    reader: Reader,
+    replay: Replay,
+    /// Counts attempts: only the last one reads.
+    attempt: u32,
+    /// It came to no whole end: nothing of it is worth sending again.
+    broken: bool,
+}
+
+impl Upload {
+    /// A body that comes out of `reader`; up to `replay` bytes of it are held to be sent again.
+    pub fn new(reader: Reader, replay: usize) -> Self {
+        Upload(Rc::new(RefCell::new(Source {
+            reader,
+            replay: Replay::new(replay),
+            attempt: 0,
+            broken: false,
+        })))
+    }
+
+    /// Whether an attempt could send all of it.
+    pub fn can_repeat(&self) -> bool {
+        let source = self.0.borrow();
+        source.replay.is_whole() && !source.broken
+    }
+
+    /// Reads it for an attempt; `None`: its beginning is gone.
+    pub fn attempt(&self) -> Option<Attempt> {
+        let source = &mut *self.0.borrow_mut();
+        source.attempt += 1;
+        source.replay.is_whole().then(|| Attempt {
+            upload: self.clone(),
+            at: Reread::default(),
+            number: source.attempt,
+        })
+    }
+}
+
+impl fmt::Debug for Upload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Upload(can_repeat: {})", self.can_repeat())
+    }
+}
+
+/// An attempt's view of an upload.
+pub struct Attempt {
+    upload: Upload,
+    at: Reread,
+    number: u32,
+}
+
+impl Attempt {
+    /// The next bytes, or the end.
+    pub async fn next(&mut self) -> Result<Bytes, Ended> {
+        std::future::poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Result<Bytes, Ended>> {
+        let source = &mut *self.upload.0.borrow_mut();
+        if source.attempt != self.number {
+            return Poll::Ready(Err(Ended::Broken));
+        }
+        if let Some(bytes) = source.replay.next(&mut self.at) {
+            return Poll::Ready(Ok(bytes));
+        }
+        // Guards against a wait for ever: what is held to be sent again must not keep the rest out.
+        if source.reader.is_cramped() {
+            source.replay.let_go();
+            source.reader.keep(0);
+        }
+        let next = source.reader.poll_next(cx);
+        source.broken |= matches!(next, Poll::Ready(Err(Ended::Broken)));
+        if let Poll::Ready(Ok(bytes)) = &next {
+            source.replay.pass(bytes);
+            source.reader.keep(source.replay.held());
+            // What has just passed is behind this attempt.
+            source.replay.next(&mut self.at);
+        }
+        next
+    }
+}
+
+/// What a flow brings: a whole body, or one that comes.
+#[derive(Clone, Debug)]
+pub enum Body {
+    Whole(Bytes),
+    Stream(Upload),
+}
+
+impl Body {
+    /// The whole body; of a stream nothing.
+    pub fn whole(&self) -> Bytes {
+        match self {
+            Body::Whole(bytes) => bytes.clone(),
+            Body::Stream(_) => Bytes::new(),
+        }
+    }
+
+    /// Bytes that the flow itself holds; those of streams are the budget's.
+    pub fn len(&self) -> usize {
+        match self {
+            Body::Whole(bytes) => bytes.len(),
+            Body::Stream(_) => 0,
+        }
+    }
+
+    /// Whether an attempt could send all of it.
+    pub fn can_repeat(&self) -> bool {
+        match self {
+            Body::Whole(_) => true,
+            Body::Stream(upload) => upload.can_repeat(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn poll<T>(mut act: impl FnMut(&mut Context<'_>) -> Poll<T>) -> Option<T> {
+        match act(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(value) => Some(value),
+            Poll::Pending => None,
+        }
+    }
+
+    fn bytes(count: usize) -> Bytes {
+        Bytes::from(vec![7; count])
+    }
+
+    #[test]
+    fn a_stream_holds_no_more_than_its_part_and_gives_it_back() {
+        let budgets = Budgets::new(1000, 100, 300);
+        let (writer, reader) = budgets.stream().expect("room");
+        assert_eq!(poll(|cx| writer.poll_room(cx)), Some(Some(300)));
+        writer.push(bytes(300));
+        assert_eq!((poll(|cx| writer.poll_room(cx)), budgets.held()), (None, (300, 1)));
+        assert_eq!(poll(|cx| reader.poll_next(cx)), Some(Ok(bytes(300))));
+        assert_eq!((poll(|cx| writer.poll_room(cx)), budgets.held()), (Some(Some(300)), (0, 1)));
+        writer.push(bytes(10));
+        drop(reader);
+        assert_eq!((poll(|cx| writer.poll_room(cx)), budgets.held().0), (Some(None), 0));
+        drop(writer);
+        assert_eq!(budgets.held(), (0, 0));
+    }
+
+    #[test]
+    fn a_writer_that_goes_breaks_the_stream_off() {
+        let budgets = Budgets::new(1000, 100, 300);
+        let (writer, reader) = budgets.stream().expect("room");
+        writer.push(bytes(1));
+        drop(writer);
+        assert_eq!(poll(|cx| reader.poll_next(cx)), Some(Ok(bytes(1))));
+        assert_eq!(poll(|cx| reader.poll_next(cx)), Some(Err(Ended::Broken)));
+        let (writer, reader) = budgets.stream().expect("room");
+        writer.end(Ended::Whole);
+        drop(writer);
+        assert_eq!(poll(|cx| reader.poll_next(cx)), Some(Err(Ended::Whole)));
+    }
+
+    #[test]
+    fn an_upload_is_read_again_while_its_beginning_is_held() {
+        let budgets = Budgets::new(10_000, 100, 3000);
+        let (writer, reader) = budgets.stream().expect("room");
+        let upload = Upload::new(reader, 250);
+        writer.push(bytes(100));
+        let mut first = upload.attempt().expect("whole");
+        assert_eq!(poll(|cx| first.poll_next(cx)), Some(Ok(bytes(100))));
+        writer.push(bytes(101));
+        assert_eq!(poll(|cx| first.poll_next(cx)), Some(Ok(bytes(101))));
+        assert_eq!((budgets.held().0, poll(|cx| first.poll_next(cx))), (201, None));
+        // The second starts over, and the first has nothing more to read.
+        let mut second = upload.attempt().expect("whole");
+        assert_eq!(poll(|cx| first.poll_next(cx)), Some(Err(Ended::Broken)));
+        for size in [100, 101] {
+            assert_eq!(poll(|cx| second.poll_next(cx)), Some(Ok(bytes(size))));
+        }
+        writer.push(bytes(50));
+        assert_eq!(poll(|cx| second.poll_next(cx)), Some(Ok(bytes(50))));
+        assert!(!upload.can_repeat() && upload.attempt().is_none());
+        assert_eq!(budgets.held().0, 0);
+    }
+
+    /// What is kept must not stop what is to come.
+    #[test]
+    fn what_is_held_to_be_sent_again_gives_way_when_there_is_no_room() {
+        let budgets = Budgets::new(400, 100, 150);
+        let (writer, reader) = budgets.stream().expect("room");
+        let upload = Upload::new(reader, 1000);
+        let mut attempt = upload.attempt().expect("whole");
+        for _ in 0..10 {
+            let room = poll(|cx| writer.poll_room(cx)).flatten();
+            let Some(room) = room else { panic!("no room, {:?} held", budgets.held()) };
+            writer.push(bytes(room));
+            assert_eq!(poll(|cx| attempt.poll_next(cx)), Some(Ok(bytes(room))));
+            // It finds that nothing more can come.
+            assert_eq!(poll(|cx| attempt.poll_next(cx)), None);
+            assert!(budgets.held().0 <= 150);
+        }
+        assert!(!upload.can_repeat());
+    }
+}
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -4,16 +4,19 @@
 mod operator;
 
 pub use faults::{read_json, Faults};
-pub use operator::{BeanstalkdWorkers, Matching, Operator, RawAdmin, RawFront, RawPeers, RawRoute};
+pub use operator::{Matching, Operator, Protocol, RawAdmin, RawFront, RawPeers, RawRoute, RawWorkers};
 
 use crate::admin::auth::AdminKeys;
 use crate::beanstalkd::is_name;
 use crate::list::HostList;
+use lineroute::{Class, KindId};
 use lineroute_control::overrides::HARD_LONGEST;
 use lineroute_control::peers::KeyRing;
+use lineroute_http1::Forwarding;
 use lineroute_settings::Site;
+use lineroute_stream::PaceLimits;
 use serde::de::DeserializeOwned;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Map, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -91,6 +94,34 @@
     /// The class of what comes in here; `None`: requests name theirs.
     pub class: Option<usize>,
     pub budget: Option<Duration>,
+    /// Requests and answers pass to workers that speak plain HTTP.
+    pub passing: Option<PassingRoute>,
+}
+
+/// How bodies pass on a route.
+#[derive(Clone, Debug)]
+pub struct PassingRoute {
+    /// Those of requests pass as they come.
+    pub stream: bool,
+    pub max_body: u64,
+    pub pace: PaceLimits,
+    pub replay: usize,
+}
+
+/// Workers that take their jobs from beanstalkd servers.
+#[derive(Clone, Debug, Serialize)]
+pub struct BeanstalkdWorkers {
+    pub kind: String,
+    pub work_tube: String,
+    pub answers_tube: String,
+}
+
+/// Workers that answer HTTP/1.1 requests on the connection.
+#[derive(Clone, Debug)]
+pub struct HttpWorkers {
+    pub kind: String,
+    pub forwarding: Forwarding,
+    pub replay: usize,
 }
 
 impl Route {
@@ -119,6 +150,7 @@
     pub site: Site,
     pub routes: Vec<Route>,
     pub workers: Vec<BeanstalkdWorkers>,
+    pub upstreams: Vec<HttpWorkers>,
     pub beanstalkd: Option<BeanstalkdFront>,
     pub admin: Option<Admin>,
     pub peers: Option<Peers>,
@@ -235,7 +267,7 @@
     admin(operator.admin.as_ref(), faults);
     longest(operator, faults);
     check_routes(operator, faults);
-    check_workers(operator, faults);
+    check_workers(operator, "lineroute", faults);
 }
 
 fn check(
@@ -282,15 +314,15 @@
     }
     let memory = (memory_mb as usize) << 20;
     check_routes(&operator, faults);
-    check_workers(&operator, faults);
+    let name = variable("GW_NAME").or(raw.name.take()).unwrap_or_else(|| "lineroute".into());
+    if !is_name(&name) || name.len() > 64 {
+        faults.add("GW_NAME", format!("{name:?} is not a plain word of 1 to 64 characters"));
+    }
+    let (workers, upstreams) = check_workers(&operator, &name, faults);
     let admin = admin(operator.admin.as_ref(), faults);
     let longest = longest(&operator, faults);
     let state_dir = state_dir(operator.state_dir.as_deref(), faults);
     let peers = operator.peers.as_ref().and_then(|p| peers(p, &raw, site.as_ref(), faults));
-    let name = variable("GW_NAME").or(raw.name).unwrap_or_else(|| "lineroute".into());
-    if !is_name(&name) || name.len() > 64 {
-        faults.add("GW_NAME", format!("{name:?} is not a plain word of 1 to 64 characters"));
-    }
     let mut free = sockets.saturating_sub(OTHER_SOCKETS);
     let fronts = [
         ("beanstalkd.max_connections", operator.beanstalkd.as_ref().map_or(0, |f| f.max_connections)),
@@ -304,12 +336,46 @@
         }
     }
     let site = site?;
-    let mut routes = vec![Route { path: "/api".into(), prefix: false, class: None, budget: None }];
+    let mut routes =
+        vec![Route { path: "/api".into(), prefix: false, class: None, budget: None, passing: None }];
     for (i, raw) in operator.routes.into_iter().enumerate() {
-        let key = format!("operator's file: routes[{i}].class");
-        let class = faults.take(position(&site.classes, &raw.class, &key));
+        let key = |field: &str| format!("operator's file: routes[{i}].{field}");
+        let class = faults.take(position(&site.classes, &raw.class, &key("class")));
+        let kind = class.and_then(|c| only_kind(&site.settings.classes[c]));
+        let kind = kind.and_then(|k| site.kinds.get(k.0 as usize));
+        let upstream = upstreams.iter().find(|u| Some(&u.kind) == kind);
+        let given = [
+            ("stream", raw.stream),
+            ("max_body", raw.max_body.is_some()),
+            ("idle_ms", raw.idle_ms.is_some()),
+            ("least_rate", raw.least_rate.is_some()),
+        ];
+        for (field, _) in given.iter().filter(|(_, given)| *given && upstream.is_none()) {
+            let words = format!(
+                "class {:?} is not bound to a kind of workers with \"protocol\": \"http\"",
+                raw.class
+            );
+            faults.add(key(field), words);
+        }
+        if raw.idle_ms == Some(0) {
+            faults.add(key("idle_ms"), "must be above 0");
+        }
+        let passing = upstream.map(|upstream| PassingRoute {
+            stream: raw.stream,
+            max_body: raw.max_body.unwrap_or(if raw.stream { u64::MAX } else { 64 << 10 }),
+            pace: PaceLimits {
+                idle: Duration::from_millis(raw.idle_ms.unwrap_or(30_000)),
+                least: raw.least_rate.unwrap_or(1024),
+                over: Duration::from_secs(5),
+            },
+            replay: upstream.replay,
+        });
+        if passing.as_ref().is_some_and(|p| !p.stream && p.max_body > 64 << 10) {
+            faults.add(key("max_body"), "is over 65536: larger bodies must stream");
+        }
         let (path, prefix) = (raw.path, raw.matching == Matching::Prefix);
-        routes.push(Route { path, prefix, class, budget: raw.budget_ms.map(Duration::from_millis) });
+        let budget = raw.budget_ms.map(Duration::from_millis);
+        routes.push(Route { path, prefix, class, budget, passing });
     }
     let beanstalkd = operator.beanstalkd.map(|raw| front(raw, &site, memory, faults));
     Some(Config {
@@ -323,7 +389,8 @@
         known,
         site,
         routes,
-        workers: operator.workers,
+        workers,
+        upstreams,
         beanstalkd,
         admin,
         peers,
@@ -332,6 +399,14 @@
     })
 }
 
+/// The one kind of worker that a class goes to, if it is bound to one.
+fn only_kind(class: &Class) -> Option<KindId> {
+    class.kind.or(match class.kinds.as_deref() {
+        Some([one]) => Some(*one),
+        _ => None,
+    })
+}
+
 fn check_routes(operator: &Operator, faults: &mut Faults) {
     for (i, route) in operator.routes.iter().enumerate().filter(|(_, r)| !r.path.starts_with('/')) {
         faults.add(
@@ -341,12 +416,62 @@
     }
 }
 
-fn check_workers(operator: &Operator, faults: &mut Faults) {
-    for (i, workers) in operator.workers.iter().enumerate() {
-        for (field, tube) in [("work_tube", &workers.work_tube), ("answers_tube", &workers.answers_tube)] {
-            faults.take(check_tube(&format!("operator's file: workers[{i}].{field}"), tube));
+/// Kinds of worker by what they speak.
+fn check_workers(
+    operator: &Operator,
+    name: &str,
+    faults: &mut Faults,
+) -> (Vec<BeanstalkdWorkers>, Vec<HttpWorkers>) {
+    let (mut beanstalkd, mut http) = (Vec::new(), Vec::new());
+    for (i, raw) in operator.workers.iter().enumerate() {
+        let key = |field: &str| format!("operator's file: workers[{i}].{field}");
+        if operator.workers[..i].iter().any(|before| before.kind == raw.kind) {
+            faults.add(key("kind"), format!("{:?} stands twice", raw.kind));
+        }
+        let of = |protocol: &str, fields: &[(&'static str, bool)], faults: &mut Faults| {
+            for (field, _) in fields.iter().filter(|(_, given)| *given) {
+                faults.add(key(field), format!("goes with \"protocol\": \"{protocol}\" only"));
+            }
+        };
+        match raw.protocol {
+            Protocol::Beanstalkd => {
+                let given = [
+                    ("host", raw.host.is_some()),
+                    ("via", raw.via.is_some()),
+                    ("x_forwarded", raw.x_forwarded.is_some()),
+                    ("forwarded", raw.forwarded.is_some()),
+                    ("replay", raw.replay.is_some()),
+                ];
+                of("http", &given, faults);
+                let work_tube = raw.work_tube.clone().unwrap_or_else(|| "work".into());
+                let answers_tube = raw.answers_tube.clone().unwrap_or_else(|| "answers".into());
+                faults.take(check_tube(&key("work_tube"), &work_tube));
+                faults.take(check_tube(&key("answers_tube"), &answers_tube));
+                beanstalkd.push(BeanstalkdWorkers { kind: raw.kind.clone(), work_tube, answers_tube });
+            }
+            Protocol::Http => {
+                let given =
+                    [("work_tube", raw.work_tube.is_some()), ("answers_tube", raw.answers_tube.is_some())];
+                of("beanstalkd", &given, faults);
+                if raw.host.as_ref().is_some_and(|h| h.is_empty() || !h.bytes().all(|b| b.is_ascii_graphic()))
+                {
+                    faults.add(key("host"), "is no host");
+                }
+                let replay = raw.replay.unwrap_or(64 << 10);
+                if replay > 1 << 20 {
+                    faults.add(key("replay"), format!("{replay} is over 1048576"));
+                }
+                let forwarding = Forwarding {
+                    host: raw.host.clone(),
+                    via: raw.via.unwrap_or(true).then(|| name.to_owned()),
+                    x_forwarded: raw.x_forwarded.unwrap_or(true),
+                    forwarded: raw.forwarded.unwrap_or(false),
+                };
+                http.push(HttpWorkers { kind: raw.kind.clone(), forwarding, replay });
+            }
         }
     }
+    (beanstalkd, http)
 }
 
 fn admin(raw: Option<&RawAdmin>, faults: &mut Faults) -> Option<Admin> {
--- a/dispatcher/src/config/operator.rs
+++ b/dispatcher/src/config/operator.rs
@@ -16,8 +16,8 @@
     pub hosts: Vec<Host>,
     /// Paths beside `/api`.
     pub routes: Vec<RawRoute>,
-    /// Kinds of worker that speak beanstalkd.
-    pub workers: Vec<BeanstalkdWorkers>,
+    /// Kinds of worker that speak another protocol than the platform's.
+    pub workers: Vec<RawWorkers>,
     /// The front for beanstalkd clients.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub beanstalkd: Option<RawFront>,
@@ -36,7 +36,7 @@
 }
 
 /// A path and the class of what comes in there.
-#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+#[derive(Debug, Default, Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawRoute {
     pub path: String,
@@ -45,6 +45,18 @@
     pub class: String,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub budget_ms: Option<u64>,
+    /// Bodies of requests pass as they come; only to workers that speak plain HTTP.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stream: bool,
+    /// The largest body of a request, in bytes: 65,536 unless bodies stream, any if they do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_body: Option<u64>,
+    /// A client or worker may move nothing for so long while a body passes (30,000).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idle_ms: Option<u64>,
+    /// Bytes a second that a client or worker must move while a body passes, over 5 s (1,024; 0: any).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub least_rate: Option<u64>,
 }
 
 /// How a route's path is compared: it must be the same, or the beginning.
@@ -56,15 +68,45 @@
     Prefix,
 }
 
-/// Workers of a kind that take their jobs from beanstalkd servers.
-#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
+/// What a kind of worker speaks.
+#[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Protocol {
+    /// It takes jobs from its beanstalkd server.
+    #[default]
+    Beanstalkd,
+    /// It answers HTTP/1.1 requests on the connection.
+    Http,
+}
+
+/// A kind of worker, and what it speaks.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct BeanstalkdWorkers {
+pub struct RawWorkers {
     pub kind: String,
-    #[serde(default = "work_tube")]
-    pub work_tube: String,
-    #[serde(default = "answers_tube")]
-    pub answers_tube: String,
+    #[serde(default)]
+    pub protocol: Protocol,
+    /// Beanstalkd: the tube that jobs go to (`work`).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub work_tube: Option<String>,
+    /// Beanstalkd: the tube that answers come from (`answers`).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answers_tube: Option<String>,
+    /// HTTP: the `Host` that it is sent, in place of the client's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
+    /// HTTP: whether this dispatcher names itself in `Via` (true).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub via: Option<bool>,
+    /// HTTP: whether `X-Forwarded-For`, `-Host` and `-Proto` are sent (true).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub x_forwarded: Option<bool>,
+    /// HTTP: whether `Forwarded` is sent (false).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forwarded: Option<bool>,
+    /// HTTP: bytes of an upload that are held to be sent again (65,536).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub replay: Option<usize>,
 }
 
 /// The front for beanstalkd clients.
@@ -131,14 +173,6 @@
     }
 }
 
-fn work_tube() -> String {
-    "work".into()
-}
-
-fn answers_tube() -> String {
-    "answers".into()
-}
-
 fn api() -> String {
     "/api".into()
 }
--- a/dispatcher/src/facade.rs
+++ b/dispatcher/src/facade.rs
@@ -68,6 +68,8 @@
     /// The client has gone, or the flow is over for another reason.
     Left(FlowId),
     Begun(FlowId, u32),
+    /// The head of a forward's answer has gone to the client.
+    Passes(FlowId, u32),
     Progress(FlowId, u32, f64),
     Ended {
         flow: FlowId,
@@ -197,6 +199,7 @@
                     .collect(),
             }),
             News::Left(flow) => Event::Aborted(request_id(flow)),
+            News::Passes(flow, number) => Event::Started(request_id(flow), AttemptNo(number)),
             News::Begun(flow, number) => Event::Begun(request_id(flow), AttemptNo(number)),
             News::Progress(flow, number, share) => {
                 Event::Progress(request_id(flow), AttemptNo(number), share)
--- a/dispatcher/src/flow.rs
+++ b/dispatcher/src/flow.rs
@@ -5,11 +5,14 @@
 //! Whatever is to be done outside is collected while the core is borrowed and done after the borrow has
 //! ended (`Effect`), so a listener or a target may call back at once.
 
+use crate::body::{Body, Reader};
 use crate::facade::{Ask, Decision, Facade, FlowId, Listed, News, Outcome, Stage, Steer, TargetId};
 use bytes::Bytes;
 use rustc_hash::{FxHashMap, FxHashSet};
+use std::any::Any;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -37,12 +40,29 @@
     pub slots: f64,
     /// What is asked for, where the wire has such a thing.
     pub path: String,
-    pub body: Bytes,
+    /// What a front says to a carrier of the same wire. The core never looks at it.
+    pub detail: Option<Rc<dyn Any>>,
+    pub body: Body,
+}
+
+/// An answer that passes as it comes: its head, which a front of the same wire can read, and its body. Whoever
+/// reads the body to its end knows whether it was whole.
+pub struct Passing {
+    pub head: Box<dyn Any>,
+    pub body: Reader,
+}
+
+impl fmt::Debug for Passing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Passing")
+    }
 }
 
 /// The one final answer of a flow.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub enum Answer {
+    /// A target's answer, as it comes.
+    Passing(Passing),
     /// A target's result.
     Served(Bytes),
     /// Not done, and trying again is harmless, after that time.
@@ -95,6 +115,8 @@
     listener: Option<Box<dyn Listener>>,
     until: Instant,
     out: Option<Out>,
+    /// The answer passes: the flow is bound to the forward that is out. How long its head took.
+    bound: Option<Duration>,
 }
 
 struct Out {
@@ -255,7 +277,8 @@
                 deadline: until,
             };
             core.deadlines.insert((until, id));
-            let flow = Flow { job: Rc::new(job), listener: Some(listener(id)), until, out: None };
+            let flow =
+                Flow { job: Rc::new(job), listener: Some(listener(id)), until, out: None, bound: None };
             core.flows.insert(id, flow);
             let decisions = core.facade.pick(id, ask);
             (id, core.effects(decisions, &self.watch))
@@ -290,6 +313,26 @@
         self.news(ticket, News::Progress(ticket.flow, ticket.number, share));
     }
 
+    /// The head of an answer has come, and the answer passes from here on: the flow has its one answer, and is
+    /// bound to this forward until `ended` is called for it. False: nobody wants it.
+    pub fn passes(&self, ticket: Ticket, passing: Passing) -> bool {
+        let effects = {
+            let core = &mut *self.core.borrow_mut();
+            if !core.is_out(ticket) {
+                return false;
+            }
+            let Some(flow) = core.flows.get_mut(&ticket.flow) else { return false };
+            let Some(listener) = flow.listener.take() else { return false };
+            flow.bound = flow.out.as_ref().map(|out| out.sent.elapsed());
+            let mut effects = vec![Effect::Answer(listener, Answer::Passing(passing))];
+            let decisions = core.facade.report(News::Passes(ticket.flow, ticket.number));
+            effects.extend(core.effects(decisions, &self.watch));
+            effects
+        };
+        self.carry_out(effects);
+        true
+    }
+
     fn news(&self, ticket: Ticket, news: News) {
         let effects = {
             let core = &mut *self.core.borrow_mut();
@@ -427,6 +470,11 @@
         self.core.borrow().flows.values().filter(|f| f.listener.is_some()).count()
     }
 
+    /// Flows whose answer is passing.
+    pub fn passing(&self) -> usize {
+        self.core.borrow().flows.values().filter(|f| f.bound.is_some()).count()
+    }
+
     /// Resolves when somebody should look at `owed` again.
     pub async fn settled(&self) {
         self.settled.notified().await;
@@ -581,11 +629,18 @@
         let Some(flow) = self.flows.get_mut(&ticket.flow) else { return Vec::new() };
         let Some(out) = flow.out.take() else { return Vec::new() };
         let mut effects = Vec::new();
+        let repeatable = flow.job.body.can_repeat();
         if let Some(listener) = flow.listener.take_if(|_| outcome == Outcome::Served) {
             effects.push(Effect::Answer(listener, Answer::Served(result.unwrap_or_default())));
         }
         let over = flow.listener.is_none();
-        let (number, spent) = (ticket.number, out.sent.elapsed());
+        // A body whose beginning is gone can't be sent again: the flow ends here, whatever its class.
+        if let Some(listener) = flow.listener.take_if(|_| !repeatable) {
+            effects.push(Effect::Answer(listener, Answer::Failed));
+        }
+        let over = over || flow.listener.is_none();
+        // A slow client must not make its target look slow.
+        let (number, spent) = (ticket.number, flow.bound.unwrap_or_else(|| out.sent.elapsed()));
         debug!(flow = ticket.flow.0, forward = number, target = %out.forward.name, class = flow.job.class,
             outcome = ?outcome, spent_ms = spent.as_millis() as u64, "forward ended");
         let news = News::Ended { flow: ticket.flow, number, outcome, over, spent };
@@ -599,6 +654,10 @@
     /// unanswered is answered here: the client must not wait for a decision that does not come.
     fn overdue(&mut self, id: FlowId, now: Instant, watch: &Notify) -> Vec<Effect> {
         let Some(flow) = self.flows.get(&id) else { return Vec::new() };
+        // The deadline is one for the head of an answer. What passes after it has limits of its own.
+        if flow.bound.is_some() {
+            return Vec::new();
+        }
         let mut effects = Vec::new();
         if let Some(out) = &flow.out {
             let ticket = out.forward.ticket;
--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -6,6 +6,7 @@
 mod tubes;
 
 use crate::beanstalkd::{read_body, read_line, skip, write_answer, Line, MAX_JOB};
+use crate::body::Body;
 use crate::config::BeanstalkdFront;
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener};
@@ -134,7 +135,8 @@
             idempotency: Some(format!("{}-{id}", self.prefix)),
             slots: 1.0,
             path: self.settings.path.clone(),
-            body,
+            detail: None,
+            body: Body::Whole(body),
         };
         let (budget, answers) = (mapped.budget, mapped.answers.clone());
         if delay.is_zero() {
--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -2,6 +2,7 @@
 //! stays in the kernel. Guards last words: they arrive although the other side is still sending.
 
 use super::seats::{Cut, Seat, Stage};
+use lineroute_http1::Screen;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -28,11 +29,21 @@
     /// Bytes of the head so far, and of this go.
     head: Rc<Cell<usize>>,
     go: Rc<Cell<usize>>,
+    /// Where requests pass on, what can be framed in two ways must not.
+    screen: Option<Rc<RefCell<Screen>>>,
 }
 
 impl Guarded {
-    pub fn new(stream: TcpStream, seat: Rc<Seat>) -> Self {
-        Guarded { stream: Rc::new(RefCell::new(stream)), seat, head: Rc::default(), go: Rc::default() }
+    /// `screened`: requests on it may pass to plain HTTP workers.
+    pub fn new(stream: TcpStream, seat: Rc<Seat>, screened: bool) -> Self {
+        let screen = screened.then(Rc::default);
+        Guarded {
+            stream: Rc::new(RefCell::new(stream)),
+            seat,
+            head: Rc::default(),
+            go: Rc::default(),
+            screen,
+        }
     }
 
     fn poll<R>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> R) -> R {
@@ -92,6 +103,14 @@
         }
         ready!(read)?;
         let count = buf.filled().len() - before;
+        if let Some(screen) = &self.screen {
+            if screen.borrow_mut().feed(&buf.filled()[before..]).is_err() {
+                // Not a byte of it reaches the parser behind.
+                buf.set_filled(before);
+                seat.cut(Cut::Malformed);
+                return Poll::Pending;
+            }
+        }
         self.go.set(self.go.get() + count);
         if count > 0 {
             let before = if seat.stage() == Stage::Head { self.head.get() } else { 0 };
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -3,10 +3,12 @@
 
 use super::guard::Guarded;
 use super::seats::{Cut, Seat, Seats, Stage, WHOLE_WITHIN};
+use crate::body::{Body, Budgets};
 use crate::config::Route;
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener, NotTaken};
 use crate::targets::http::{HttpTargets, JobNews};
+use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderMap};
 use actix_http::{
     ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
@@ -27,12 +29,13 @@
 /// Idle connections of clients are kept so long.
 const KEEP_ALIVE: Duration = Duration::from_secs(120);
 /// What a client is told that this dispatcher can't take on: others may have room at once.
-const BUSY_RETRY: Duration = Duration::from_millis(250);
+pub(super) const BUSY_RETRY: Duration = Duration::from_millis(250);
 const LONGEST_ID: usize = 128;
 /// What is said to those whom the server never came to speak with.
 const NO_SEAT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\n\
     Content-Length: 0\r\n\r\n";
 const LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 const TOO_LONG: &[u8] =
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
@@ -74,6 +77,10 @@
         self.idle.notify_waiters();
     }
 
+    pub(super) fn is_shut(&self) -> bool {
+        self.shut.get()
+    }
+
     /// For one connection, from its start. One that comes later is not ended so: workers still have calls to
     /// make of the flows that are being finished.
     async fn until_shut(self: Rc<Self>) {
@@ -91,6 +98,8 @@
     pub routes: Vec<Route>,
     pub phase: Rc<Phase>,
     pub seats: Rc<Seats>,
+    /// The memory that bodies in passage share.
+    pub budgets: Budgets,
     /// Begins the ids of jobs that came without one; how many have.
     pub prefix: String,
     pub made: Cell<u64>,
@@ -141,6 +150,7 @@
             .h1(actix_service::fn_service(service).into_factory());
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
+        let screened = self.routes.iter().any(|r| r.passing.is_some());
         actix_rt::spawn(self.seats.clone().watch());
         loop {
             let (stream, peer) = match socket.accept().await {
@@ -160,7 +170,7 @@
             };
             let service = service.clone();
             actix_rt::spawn(async move {
-                let guarded = Guarded::new(stream, taken.seat.clone());
+                let guarded = Guarded::new(stream, taken.seat.clone(), screened);
                 let cut = tokio::select! {
                     cut = taken.seat.until_cut() => Some(cut),
                     // Errors here are those of the peer: it went, or what it sent was no HTTP.
@@ -168,6 +178,7 @@
                 };
                 match cut {
                     Some(Cut::Away) => return,
+                    Some(Cut::Malformed) if !taken.seat.was_answered() => guarded.say(MALFORMED),
                     Some(Cut::Late) if !taken.seat.was_answered() => guarded.say(LATE),
                     Some(Cut::TooLong) if !taken.seat.was_answered() => guarded.say(TOO_LONG),
                     Some(_) | None => {}
@@ -179,10 +190,10 @@
         }
     }
 
-    async fn handle(&self, request: Request) -> Response<Bytes> {
+    async fn handle(&self, request: Request) -> Response<BoxBody> {
         let seat = request.conn_data::<Rc<Seat>>().cloned();
-        let mut response = self.respond(request, seat.as_deref()).await;
-        if let Some(seat) = seat {
+        let mut response = self.respond(request, seat.clone()).await;
+        if let Some(seat) = seat.filter(|_| !passes(&response)) {
             seat.set(Stage::Idle);
         }
         if self.phase.closing.get() {
@@ -191,7 +202,16 @@
         response
     }
 
-    async fn respond(&self, mut request: Request, seat: Option<&Seat>) -> Response<Bytes> {
+    async fn respond(&self, request: Request, seat: Option<Rc<Seat>>) -> Response<BoxBody> {
+        if let Some(route) = Route::find(&self.routes, request.path()) {
+            if let Some(passing) = &route.passing {
+                return self.pass(request, route, passing, seat).await;
+            }
+        }
+        self.respond_whole(request, seat.as_deref()).await.map_into_boxed_body()
+    }
+
+    async fn respond_whole(&self, mut request: Request, seat: Option<&Seat>) -> Response<Bytes> {
         let (get, post) = (request.method() == Method::GET, request.method() == Method::POST);
         let path = request.path().to_owned();
         match path.as_str() {
@@ -225,30 +245,37 @@
         };
         let arriving = tokio::time::Instant::now();
         job.body = match body(&mut request, seat).await {
-            Ok(body) => body,
+            Ok(body) => Body::Whole(body),
             Err(status) => return plain(status, "no body could be read\n"),
         };
         if self.phase.shut.get() {
             return refused(BUSY_RETRY);
         }
         let budget = budget.saturating_sub(arriving.elapsed());
+        match self.take(job, budget).await {
+            Err(NotTaken::Full) => refused(BUSY_RETRY),
+            Err(NotTaken::Duplicate) => plain(StatusCode::CONFLICT, "this id is in work\n"),
+            Ok(Some(Answer::Served(result))) => respond(StatusCode::OK, result, None),
+            Ok(Some(Answer::Refused(after))) => refused(after),
+            Ok(_) => plain(StatusCode::GATEWAY_TIMEOUT, "the job was not done\n"),
+        }
+    }
+
+    /// Opens a flow and waits for its answer. When the client goes, the flow is left.
+    pub(super) async fn take(&self, job: Job, budget: Duration) -> Result<Option<Answer>, NotTaken> {
         let (sender, answer) = oneshot::channel();
-        let id = match self.flows.open(job, budget, |_| Box::new(Waiting(sender))) {
-            Ok(id) => id,
-            Err(NotTaken::Full) => return refused(BUSY_RETRY),
-            Err(NotTaken::Duplicate) => return plain(StatusCode::CONFLICT, "this id is in work\n"),
-        };
+        let id = self.flows.open(job, budget, |_| Box::new(Waiting(sender)))?;
         let mut claim = Claim { flows: self.flows.clone(), id, answered: false };
         let answer = answer.await;
         claim.answered = answer.is_ok();
-        match answer {
-            Ok(Answer::Served(result)) => respond(StatusCode::OK, result, None),
-            Ok(Answer::Refused(after)) => refused(after),
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "the job was not done\n"),
-        }
+        Ok(answer.ok())
     }
 
-    fn read_head(&self, request: &Request, route: &Route) -> Result<(Job, Duration), &'static str> {
+    pub(super) fn read_head(
+        &self,
+        request: &Request,
+        route: &Route,
+    ) -> Result<(Job, Duration), &'static str> {
         let headers = request.headers();
         let id = match text(headers, "x-call-id")? {
             Some(id) => id.to_owned(),
@@ -290,19 +317,28 @@
             idempotency: owned("idempotency-key")?,
             slots,
             path: request.uri().path_and_query().map_or("/".into(), |p| p.as_str().to_owned()),
-            body: Bytes::new(),
+            detail: None,
+            body: Body::Whole(Bytes::new()),
         };
         Ok((job, Duration::from_millis(budget).min(longest.max(Duration::from_secs(3600)))))
     }
 }
 
+/// Whether the answer's body is still to come: its end frees the seat then.
+fn passes(response: &Response<BoxBody>) -> bool {
+    response.extensions().contains::<Passes>()
+}
+
+/// Marks an answer whose body is still to come.
+pub(super) struct Passes;
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, &'static str> {
     let Some(value) = headers.get(name) else { return Ok(None) };
     value.to_str().map(Some).map_err(|_| "a header is not plain text\n")
 }
 
 /// Reads the body; from here on the request is in hand. One that is said to be too long is not read at all.
-async fn body(request: &mut Request, seat: Option<&Seat>) -> Result<Bytes, StatusCode> {
+pub(super) async fn body(request: &mut Request, seat: Option<&Seat>) -> Result<Bytes, StatusCode> {
     let length =
         request.headers().get(header::CONTENT_LENGTH).and_then(|l| l.to_str().ok()?.trim().parse().ok());
     if length.is_some_and(|l: u64| l > MAX_BODY as u64) {
@@ -340,10 +376,10 @@
     response
 }
 
-fn refused(after: Duration) -> Response<Bytes> {
+pub(super) fn refused(after: Duration) -> Response<Bytes> {
     respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not now\n"), Some(after))
 }
 
-fn plain(status: StatusCode, words: &'static str) -> Response<Bytes> {
+pub(super) fn plain(status: StatusCode, words: &'static str) -> Response<Bytes> {
     respond(status, Bytes::from_static(words.as_bytes()), None)
 }
--- a/dispatcher/src/listeners/mod.rs
+++ b/dispatcher/src/listeners/mod.rs
@@ -3,4 +3,5 @@
 pub mod beanstalkd;
 mod guard;
 pub mod http;
+mod pass;
 pub mod seats;
--- a/dispatcher/src/listeners/seats.rs
+++ b/dispatcher/src/listeners/seats.rs
@@ -26,6 +26,8 @@
     /// The words of a request are coming; or its body, which is timed where it is read.
     Head,
     Body,
+    /// A body passes as it comes; whoever passes it on watches its pace.
+    Streaming,
     /// A request is in hand: its client is owed an answer.
     InWork,
     /// Between requests.
@@ -42,6 +44,8 @@
     /// A request took too long, or too many words.
     Late,
     TooLong,
+    /// It can be read in two ways.
+    Malformed,
 }
 
 /// One connection, as its seat knows it.
@@ -125,7 +129,7 @@
             Stage::Head | Stage::Body if old => 2,
             Stage::Idle => 3,
             Stage::Silent => 4,
-            Stage::Head | Stage::Body | Stage::InWork => return None,
+            Stage::Head | Stage::Body | Stage::Streaming | Stage::InWork => return None,
         };
         Some((rank + if self.worker.get() { 8 } else { 0 }, since))
     }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod beanstalkd;
+mod body;
 mod cli;
 mod config;
 mod facade;
@@ -16,6 +17,7 @@
 mod store;
 mod targets;
 
+use body::Budgets;
 use cli::RunArgs;
 use config::{Config, Faults, Occasion, Sources};
 use facade::{Facade, ListKind};
@@ -35,6 +37,7 @@
 use store::Store;
 use targets::beanstalkd::BeanstalkdTargets;
 use targets::http::{HttpClient, HttpTargets};
+use targets::upstream::Upstreams;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
@@ -46,8 +49,14 @@
 const LAST_WORDS: Duration = Duration::from_secs(1);
 /// Part of the memory that bodies may take.
 const BODY_PART: usize = 4;
+/// Part of the memory that bodies in passage may take; what each may always hold, and at most.
+const STREAM_PART: usize = 4;
+const STREAM_FLOOR: usize = 16 << 10;
+const STREAM_CEILING: usize = 256 << 10;
 
 /// How long answers that beanstalkd clients have not fetched are kept once everything else is done.
+/// How long answers that pass may go on once everything else is done; then they are cut short.
+const PASS_ON: Duration = Duration::from_secs(10);
 const KEEP_ANSWERS: Duration = Duration::from_secs(5);
 
 fn main() -> ExitCode {
@@ -104,7 +113,7 @@
 }
 
 /// Starts what overrides need, as far as the operator's file asks for it.
-async fn control(config: &mut Config, flows: &Flows) -> Result<Reloaded, String> {
+async fn control(config: &mut Config, flows: &Flows, budgets: &Budgets) -> Result<Reloaded, String> {
     let (classes, tenants) = (config.site.classes.clone(), config.site.tenants.clone());
     if config.admin.is_none() && config.peers.is_none() && config.state_dir.is_none() {
         return Ok(Reloaded::default());
@@ -124,7 +133,8 @@
     let admin = match config.admin.take() {
         Some(admin) => {
             let (dispatcher, flows, peers) = (config.name.clone(), flows.clone(), peers.clone());
-            let calls = admin::Calls { dispatcher, classes, flows, overrides, peers, store };
+            let budgets = budgets.clone();
+            let calls = admin::Calls { dispatcher, classes, flows, budgets, overrides, peers, store };
             Some(admin::start(admin, calls).await?)
         }
         None => None,
@@ -150,6 +160,7 @@
     let keepalive = Duration::from_micros(site.settings.allowed.keepalive);
     let facade = Facade::new(site.settings, config.seed).map_err(|e| e.to_string())?;
     let flows = Flows::new(facade, bounds);
+    let budgets = Budgets::new(config.memory / STREAM_PART, STREAM_FLOOR, STREAM_CEILING);
     let client = HttpClient::new(connect_within, keepalive, config.outbound);
     let targets = HttpTargets::new(flows.clone(), client.clone(), connect_within);
     flows.plug(Rc::new(targets.clone()));
@@ -158,11 +169,15 @@
         let carrier = BeanstalkdTargets::new(flows.clone(), workers, &config.name, connect_within);
         carriers.insert(workers.kind.clone(), flows.plug(Rc::new(carrier)));
     }
+    for workers in &config.upstreams {
+        let carrier = Upstreams::new(flows.clone(), workers, connect_within, keepalive, config.outbound);
+        carriers.insert(workers.kind.clone(), flows.plug(Rc::new(carrier)));
+    }
     let mut names = Names { zones: site.zones, kinds: site.kinds, carriers };
     if let Some(known) = &config.known {
         list::take(&flows, &mut names, known, ListKind::Cached);
     }
-    let control = control(&mut config, &flows).await?;
+    let control = control(&mut config, &flows, &budgets).await?;
     let _ = reloaded.set(control);
     let Config { routes, known, .. } = config;
     let socket = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
@@ -198,6 +213,7 @@
         routes,
         phase: phase.clone(),
         seats: seats.clone(),
+        budgets,
         prefix,
         made: Cell::new(0),
     };
@@ -216,6 +232,13 @@
     while front.as_ref().is_some_and(|f| f.left() > 0) && tokio::time::Instant::now() < last {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    let last = tokio::time::Instant::now() + PASS_ON;
+    while flows.passing() > 0 && tokio::time::Instant::now() < last {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    if flows.passing() > 0 {
+        warn!(flows = flows.passing(), "SIGTERM: answers that were passing are cut short");
+    }
     let last = tokio::time::Instant::now() + LAST_WORDS;
     while seats.count() > 0 && tokio::time::Instant::now() < last {
         tokio::time::sleep(Duration::from_millis(5)).await;
--- a/dispatcher/src/nginx.rs
+++ b/dispatcher/src/nginx.rs
@@ -2,7 +2,7 @@
 //! upstream becomes a kind of worker and a class bound to it, each location a route to that class. What can't
 //! be kept as nginx would is not dropped in silence: it is rejected by its line and name.
 
-use crate::config::{Matching, Operator, RawRoute};
+use crate::config::{Matching, Operator, Protocol, RawRoute, RawWorkers};
 use crate::list::{Host, State};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -149,6 +149,11 @@
             return Err(upstream.error("has no server"));
         }
     }
+    // What stands behind nginx answers on the connection.
+    operator.workers = (upstreams.iter())
+        .filter_map(|u| u.only().ok())
+        .map(|kind| RawWorkers { kind: kind.into(), protocol: Protocol::Http, ..RawWorkers::default() })
+        .collect();
     for location in locations {
         let Location { at, path, matching, upstream, timeout_ms, effect } = location;
         if !operator.hosts.iter().any(|h| h.kind == upstream) {
@@ -163,7 +168,14 @@
         let settings = json!({"name": class, "kind": upstream, "aim_ms": (timeout_ms / AIM_PART).max(1),
             "deadline_ms": timeout_ms, "late_share": 0.5, "effect": effect});
         operator.classes.extend(settings.as_object().cloned());
-        operator.routes.push(RawRoute { path, matching, class, budget_ms: Some(timeout_ms) });
+        operator.routes.push(RawRoute {
+            path,
+            matching,
+            class,
+            budget_ms: Some(timeout_ms),
+            stream: true,
+            ..RawRoute::default()
+        });
     }
     Ok(operator)
 }
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -246,10 +246,11 @@
         }
         let head =
             format!("{} {} {}\n", self.answers, job.reference, job.idempotency.as_deref().unwrap_or("-"));
-        let size = head.len() + job.body.len();
+        let body = job.body.whole();
+        let size = head.len() + body.len();
         let ttr = (left + TTR_MARGIN).as_secs();
         let mut request = format!("put 1024 0 {ttr} {size}\r\n{head}").into_bytes();
-        request.extend_from_slice(&job.body);
+        request.extend_from_slice(&body);
         request.extend_from_slice(b"\r\n");
         let reply = match open.ask(&request, left.min(EXCHANGE_WITHIN)).await {
             Ok(reply) => reply,
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -376,7 +376,7 @@
         if let Some(key) = &job.idempotency {
             headers.push(("Idempotency-Key", key));
         }
-        let (addr, body, within) = (forward.addr, job.body.clone(), left.min(TAKEN_WITHIN));
+        let (addr, body, within) = (forward.addr, job.body.whole(), left.min(TAKEN_WITHIN));
         let answer =
             self.client.call(Method::POST, addr, &job.path, &headers, body, within, MAX_ANSWER).await;
         let outcome = match answer {
--- a/dispatcher/src/targets/mod.rs
+++ b/dispatcher/src/targets/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod beanstalkd;
 pub mod http;
+pub mod upstream;
