--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -272,7 +272,11 @@
         let list: Listing = Arc::new((Mutex::new((1, String::new(), 0, false)), Condvar::new()));
         let discovery = discovery(list.clone());
         let dir = folder();
-        let config = config(&listed, kind, discovery, settings).replacen('{', &format!("{{{more}"), 1);
+        let config = config(&listed, kind, discovery, settings, !more.contains("limits")).replacen(
+            '{',
+            &format!("{{{more}"),
+            1,
+        );
         std::fs::write(dir.join("config.json"), config).expect("a file");
         let mut command = program();
         command.env("GW_CONFIG", dir.join("config.json")).env("GW_DISCOVERY", discovery.to_string());
@@ -394,7 +398,7 @@
     /// Moves discovery to a new address, where versions begin anew and the workers are in the states given.
     pub fn move_discovery(&mut self, states: &[&str]) {
         self.list = Arc::new((Mutex::new((0, String::new(), 0, false)), Condvar::new()));
-        self.reload(&config(&self.listed, self.kind, discovery(self.list.clone()), SETTINGS));
+        self.reload(&config(&self.listed, self.kind, discovery(self.list.clone()), SETTINGS, true));
         self.list(states);
     }
 
@@ -433,11 +437,18 @@
     }
 }
 
-fn config(listed: &[(String, SocketAddr)], kind: &str, discovery: SocketAddr, settings: &str) -> String {
+fn config(
+    listed: &[(String, SocketAddr)],
+    kind: &str,
+    discovery: SocketAddr,
+    settings: &str,
+    small: bool,
+) -> String {
+    let limits = if small { r#""limits":{"memory_mb":32,"sockets":256},"# } else { "" };
     let servers: Vec<String> = listed.iter().map(|w| entry(w, kind, "up")).collect();
     format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f","settings":{settings},
-         "limits":{{"memory_mb":32,"sockets":256}},
+         {limits}
          "known":{{"version":1,"full":true,"servers":[{}]}}}}"#,
         servers.join(",")
     )
--- a/dispatcher/tests/streams.rs
+++ b/dispatcher/tests/streams.rs
@@ -606,3 +606,124 @@
         assert!(body.len() > 1_990_000, "{}", body.len());
     }
 }
+
+/// One gigabyte out of a worker that is as fast as it can be: how long that takes, by this address.
+fn fetch(addr: SocketAddr, size: usize) -> Duration {
+    let start = std::time::Instant::now();
+    let mut stream = TcpStream::connect(addr).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(b"GET /big HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").expect("written");
+    let (_, rest) = read_head(&mut stream).expect("a head");
+    let (mut got, mut piece) = (rest.len(), vec![0; 1 << 18]);
+    while got < size {
+        got += stream.read(&mut piece).expect("bytes").max(1);
+    }
+    start.elapsed()
+}
+
+/// CPU seconds of a process so far.
+fn cpu(pid: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("a process");
+    let fields: Vec<&str> = stat.rsplit(')').next().expect("fields").split_whitespace().collect();
+    let ticks = |at: usize| fields[at].parse::<f64>().expect("a number");
+    (ticks(11) + ticks(12)) / 100.0
+}
+
+/// Throughput against a bare relay, in turn.
+#[test]
+#[ignore = "a measurement"]
+fn measure_throughput_against_a_bare_relay() {
+    let size = 1 << 30;
+    let up = Upstream::start(move |mut stream, _, _| {
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n").as_bytes());
+        let piece = vec![b'x'; 1 << 18];
+        let mut left = size;
+        while left > 0 && stream.write_all(&piece[..left.min(piece.len())]).is_ok() {
+            left -= left.min(piece.len());
+        }
+    });
+    let rig = rig("quote", STREAM, &[&up]);
+    let relay = std::env::current_exe()
+        .expect("a path")
+        .parent()
+        .and_then(|p| p.parent())
+        .expect("a folder")
+        .join("examples/relay");
+    let mut relay = std::process::Command::new(relay)
+        .arg(up.addr.to_string())
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("the example is built");
+    let mut line = String::new();
+    let mut said = std::io::BufReader::new(relay.stdout.take().expect("piped"));
+    std::io::BufRead::read_line(&mut said, &mut line).expect("its address");
+    let bare: SocketAddr = line.trim().parse().expect("an address");
+    let mut ratios = Vec::new();
+    for _ in 0..5 {
+        let (before, bare_before) = (cpu(rig.pid()), cpu(relay.id()));
+        let (through, past) = (fetch(rig.addr, size), fetch(bare, size));
+        let (own, bare_cpu) = (cpu(rig.pid()) - before, cpu(relay.id()) - bare_before);
+        ratios.push(past.as_secs_f64() / through.as_secs_f64());
+        println!("1 GB: {through:?} and {own:.2} CPU s through the program, {past:?} and {bare_cpu:.2} through a bare relay");
+    }
+    let _ = relay.kill();
+    let _ = relay.wait();
+    ratios.sort_by(f64::total_cmp);
+    println!(
+        "throughput: median {:.2} of the relay's, {:.2} to {:.2}; peak {:.1} MB",
+        ratios[2],
+        ratios[0],
+        ratios[4],
+        peak(&rig) as f64 / 1e6
+    );
+}
+
+/// Small jobs beside streams that stand still, and without, in turn.
+#[test]
+#[ignore = "a measurement"]
+fn measure_small_jobs_beside_two_hundred_streams() {
+    let up = Upstream::start(|mut stream, head, _| {
+        if head.starts_with("GET /big") {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n");
+            let _ = stream.write_all(&vec![b'x'; 8_000_000]);
+        } else {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        }
+    });
+    let settings = SETTINGS
+        .replace(r#""skus": ["m"]"#, r#""skus": ["web"]"#)
+        .replace(r#""most_held": 50"#, r#""most_held": 500"#);
+    let operator = r#"{"workers": [{"kind": "web", "protocol": "http"}],
+        "classes": [{"name": "page", "kind": "web", "aim_ms": 500, "deadline_ms": 8000, "effect": "repeatable"}],
+        "routes": [{"path": "/", "class": "page", "stream": true, "idle_ms": 600000, "least_rate": 0}]}"#;
+    let more = r#""limits": {"memory_mb": 192, "sockets": 1024}, "#.to_owned();
+    let setup = Setup { operator: Some(operator), kind: Some("web"), more, ..Setup::default() };
+    let rig = Rig::set_up(vec![("u0".into(), up.addr)], &settings, setup);
+    let median = || {
+        let mut times: Vec<Duration> = (0..2000)
+            .map(|_| {
+                let start = std::time::Instant::now();
+                assert_eq!(get(&rig, "GET /small").0, 200);
+                start.elapsed()
+            })
+            .collect();
+        times.sort_unstable();
+        times[times.len() / 2]
+    };
+    let mut ratios = Vec::new();
+    for _ in 0..5 {
+        let without = median();
+        let mut standing: Vec<TcpStream> = (0..200)
+            .map(|_| client(&rig, "GET /big HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+            .collect();
+        standing.iter_mut().for_each(|stream| assert!(read_head(stream).is_some()));
+        let with = median();
+        ratios.push(with.as_secs_f64() / without.as_secs_f64());
+        println!(
+            "median of 2,000 jobs: {without:?} without, {with:?} beside 200 streams; peak {:.1} MB",
+            peak(&rig) as f64 / 1e6
+        );
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("ratio: median {:.2}, {:.2} to {:.2}", ratios[2], ratios[0], ratios[4]);
+}
