--- a/dispatcher/src/admin/api.rs
+++ b/dispatcher/src/admin/api.rs
@@ -164,6 +164,8 @@
     /// Bodies in passage, and the bytes of them that are held.
     pub streams: usize,
     pub stream_bytes: usize,
+    /// Answers that broke off while they passed, since the start.
+    pub cut_short: u64,
     /// Open flows by class.
     pub classes: BTreeMap<String, usize>,
     /// Datagrams of the talk with peers, where it is on.
--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -120,6 +120,7 @@
         FlowCounts {
             streams,
             stream_bytes,
+            cut_short: counted.cut_short,
             dispatcher: self.dispatcher.clone(),
             open: counted.open,
             forwards: counted.out,
--- a/dispatcher/src/flow.rs
+++ b/dispatcher/src/flow.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tracing::{debug, error};
+use tracing::{debug, error, warn};
 
 pub use crate::facade::ListKind;
 
@@ -161,6 +161,8 @@
     pub open: usize,
     pub out: usize,
     pub bytes: usize,
+    /// Answers that broke off while they passed, since the start.
+    pub cut_short: u64,
     /// Open flows by class, by position.
     pub classes: Vec<usize>,
 }
@@ -199,6 +201,8 @@
     targets: FxHashMap<TargetId, Known>,
     next: u64,
     bytes: usize,
+    /// Answers that broke off after their head had gone to the client.
+    cut_short: u64,
     bounds: Bounds,
 }
 
@@ -231,6 +235,7 @@
             targets: FxHashMap::default(),
             next: 0,
             bytes: 0,
+            cut_short: 0,
             bounds,
         };
         Flows {
@@ -414,7 +419,12 @@
     /// Counts the open flows, of so many classes.
     pub fn counted(&self, classes: usize) -> Counted {
         let core = self.core.borrow();
-        let mut counted = Counted { bytes: core.bytes, classes: vec![0; classes], ..Counted::default() };
+        let mut counted = Counted {
+            bytes: core.bytes,
+            cut_short: core.cut_short,
+            classes: vec![0; classes],
+            ..Counted::default()
+        };
         for flow in core.flows.values() {
             counted.open += usize::from(flow.listener.is_some());
             counted.out += usize::from(flow.out.is_some());
@@ -643,6 +653,11 @@
         let (number, spent) = (ticket.number, flow.bound.unwrap_or_else(|| out.sent.elapsed()));
         debug!(flow = ticket.flow.0, forward = number, target = %out.forward.name, class = flow.job.class,
             outcome = ?outcome, spent_ms = spent.as_millis() as u64, "forward ended");
+        if flow.bound.is_some() && outcome != Outcome::Served {
+            self.cut_short += 1;
+            warn!(flow = ticket.flow.0, target = %out.forward.name, class = flow.job.class,
+                outcome = ?outcome, "an answer was cut short");
+        }
         let news = News::Ended { flow: ticket.flow, number, outcome, over, spent };
         let decisions = self.facade.report(news);
         effects.extend(self.effects(decisions, watch));
--- a/dispatcher/tests/streams.rs
+++ b/dispatcher/tests/streams.rs
@@ -727,3 +727,77 @@
     ratios.sort_by(f64::total_cmp);
     println!("ratio: median {:.2}, {:.2} to {:.2}", ratios[2], ratios[0], ratios[4]);
 }
+
+/// The phone goes away in the middle: the worker's connection ends too, and nothing is kept for it.
+#[test]
+fn a_client_that_goes_mid_answer_frees_the_worker() {
+    let (sender, ended) = channel();
+    let sender = std::sync::Mutex::new(sender);
+    let up = Upstream::start(move |mut stream, _, _| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        // It would go on for ever.
+        while stream.write_all(&chunked(&[b'x'; 4096])).is_ok() {}
+        let _ = sender.lock().expect("a lock").send(());
+    });
+    let rig = rig("quote", STREAM, &[&up]);
+    let mut stream = client(&rig, "GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert!(read_head(&mut stream).is_some());
+    drop(stream);
+    ended.recv_timeout(PATIENCE).expect("the worker is told");
+}
+
+/// Death in the middle of an upload: what is held is sent again where the class permits.
+#[rstest]
+#[case::held("quote", 10_000, true)]
+#[case::once("order", 10_000, false)]
+#[case::more_than_is_held("quote", 2_000_000, false)]
+fn a_worker_that_dies_mid_upload(#[case] class: &str, #[case] size: usize, #[case] again: bool) {
+    let died = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let start = || {
+        let died = died.clone();
+        Upstream::start(move |mut stream, _, rest| {
+            if !died.swap(true, std::sync::atomic::Ordering::SeqCst) {
+                // Unread bytes make this a reset.
+                return;
+            }
+            let (mut seen, mut piece) = (rest.len(), vec![0; 65536]);
+            while seen < size {
+                seen += stream.read(&mut piece).expect("the rest");
+            }
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        })
+    };
+    let (a, b) = (start(), start());
+    let rig = rig(class, STREAM, &[&a, &b]);
+    let mut stream = client(
+        &rig,
+        &format!("PUT /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {size}\r\n\r\n"),
+    );
+    // The dispatcher may answer and end the connection before all is written.
+    let _ = stream.write_all(&vec![b'x'; size]);
+    let status = read_head(&mut stream)
+        .map_or(0, |(head, _)| head.split(' ').nth(1).map_or(0, |s| s.parse().unwrap_or(0)));
+    assert_eq!(status == 200, again, "{status}");
+    assert!(![429, 503].contains(&status), "{status} would promise that it never ran");
+    let asked = a.heads.try_iter().count() + b.heads.try_iter().count();
+    assert_eq!(asked, if again { 2 } else { 1 });
+}
+
+#[test]
+fn a_client_that_waits_for_100_is_told_to_go_on() {
+    let up = Upstream::start(|mut stream, head, rest| {
+        assert!(!head.to_lowercase().contains("expect"), "it was answered here: {head}");
+        let (mut seen, mut piece) = (rest.len(), [0; 64]);
+        while seen < 5 {
+            seen += stream.read(&mut piece).expect("the body");
+        }
+        let _ = stream
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+    });
+    let rig = rig("quote", STREAM, &[&up]);
+    let mut stream = client(&rig, "PUT /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+    let (interim, _) = read_head(&mut stream).expect("an interim answer");
+    assert!(interim.starts_with("HTTP/1.1 100"), "{interim}");
+    stream.write_all(b"hello").expect("it is read");
+    assert_eq!(answer(&mut stream).0, 200);
+}
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,8 +1,9 @@
-//! Toy peers to try lineroute with: a discovery at 127.0.0.1:8500, and two workers at 9101 and 9102 that take
-//! a job, work a while and tell the dispatcher at 127.0.0.1:9000. Run it by `cargo run --example toy`.
+//! Toy peers to try lineroute with: a discovery at 127.0.0.1:8500, two workers at 9101 and 9102 that take a job,
+//! work a while and tell the dispatcher at 127.0.0.1:9000, and two plain HTTP servers at 9201 and 9202 that count
+//! what is sent to them. Run it by `cargo run --example toy`.
 
 use std::collections::HashMap;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
@@ -16,7 +17,7 @@
     body: String,
 }
 
-fn read(stream: &mut impl BufRead) -> Option<Request> {
+fn read_head(stream: &mut impl BufRead) -> Option<(String, HashMap<String, String>)> {
     let mut line = || {
         let mut line = String::new();
         (stream.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
@@ -26,6 +27,11 @@
     while let Some((name, value)) = line()?.split_once(':') {
         headers.insert(name.to_lowercase(), value.trim().to_owned());
     }
+    Some((first, headers))
+}
+
+fn read(stream: &mut impl BufRead) -> Option<Request> {
+    let (first, headers) = read_head(stream)?;
     let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).ok()?;
@@ -54,6 +60,47 @@
     Ok(())
 }
 
+/// Reads a body away, whatever its size; how many bytes it had.
+fn count(reader: &mut impl BufRead, headers: &HashMap<String, String>) -> io::Result<u64> {
+    if headers.get("transfer-encoding").is_none() {
+        let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        return io::copy(&mut Read::take(&mut *reader, length), &mut io::sink());
+    }
+    let mut total = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let size = u64::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+        // The data, and the end of its line.
+        total += io::copy(&mut Read::take(&mut *reader, size), &mut io::sink())?;
+        reader.read_line(&mut line)?;
+        if size == 0 {
+            return Ok(total);
+        }
+    }
+}
+
+/// A plain HTTP server.
+fn serve_web(name: &'static str, port: u16) -> io::Result<()> {
+    let socket = TcpListener::bind(("127.0.0.1", port))?;
+    thread::spawn(move || {
+        for stream in socket.incoming().flatten() {
+            thread::spawn(move || -> io::Result<()> {
+                let (mut reader, mut stream) = (BufReader::new(stream.try_clone()?), stream);
+                while let Some((first, headers)) = read_head(&mut reader) {
+                    let bytes = count(&mut reader, &headers)?;
+                    println!("{name}: {first}, {bytes} bytes");
+                    let body = format!("{name} got {bytes} bytes with {first}\n");
+                    let fields = format!("X-Served-By: {name}\r\nContent-Length: {}", body.len());
+                    write!(stream, "HTTP/1.1 200 OK\r\n{fields}\r\n\r\n{body}")?;
+                }
+                Ok(())
+            });
+        }
+    });
+    Ok(())
+}
+
 fn tell(id: &str, worker: &str, state: &str, result: &str) -> io::Result<()> {
     let mut stream = TcpStream::connect(DISPATCHER)?;
     let body = format!(r#"{{"id":"{id}","from":"{worker}","state":"{state}","result":"{result}"}}"#);
@@ -96,7 +143,9 @@
         }
         ("200 OK", list.clone())
     })?;
-    println!("discovery and two workers are up; stop with ^C");
+    serve_web("web-1", 9201)?;
+    serve_web("web-2", 9202)?;
+    println!("discovery, two workers and two plain servers are up; stop with ^C");
     loop {
         thread::park();
     }
