Bound the idle connections to plain HTTP workers by what calls leave

Sixteen idle ones were kept to each address, however many addresses: the descriptors that calls may take were not theirs alone. All idle ones together now stay within what calls in hand leave.

--- a/dispatcher/src/targets/upstream.rs
+++ b/dispatcher/src/targets/upstream.rs
@@ -148,8 +148,10 @@
             kept.retain(|(since, _)| since.elapsed() < self.0.keep);
             !kept.is_empty()
         });
+        // Descriptors are kept for calls: idle ones have what those leave, and no more.
+        let all: usize = idle.values().map(Vec::len).sum();
         let kept = idle.entry(addr).or_default();
-        if kept.len() < MOST_IDLE {
+        if kept.len() < MOST_IDLE && all + self.0.calls.get() < self.0.most {
             kept.push((Instant::now(), stream));
         }
     }
