Count the admin listener's time for a request from the connection's start

Found on reading the change again: head and body had 2.5 s each, so a slow caller could stay 5 s, over the 3 s in which bad clients are owed an error or a close. Both now share 2.5 s. Only where an admin listener is set; its tests pass.

--- a/dispatcher/src/admin/mod.rs
+++ b/dispatcher/src/admin/mod.rs
@@ -20,7 +20,7 @@
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
 use tracing::{info, warn};
@@ -126,6 +126,9 @@
         let factory = HttpService::<Box<dyn Io>, _, _>::build()
             .keep_alive(KeepAlive::Disabled)
             .client_request_timeout(WHOLE_WITHIN)
+            .on_connect_ext(|_, data| {
+                data.insert(Instant::now());
+            })
             .client_disconnect_timeout(Duration::from_millis(500))
             .h1(actix_service::fn_service(service).into_factory());
         let Ok(service) = factory.new_service(()).await else { return };
@@ -180,6 +183,7 @@
             );
         }
         let (method, path) = (request.method().clone(), request.path().to_owned());
+        let request_start = request.conn_data::<Instant>().copied().unwrap_or_else(Instant::now);
         let mut payload = request.take_payload();
         let read = async {
             let mut body = BytesMut::new();
@@ -194,8 +198,10 @@
             }
             Ok(body)
         };
+        // Counted from the connection's start: head and body share the time.
+        let by = request_start + WHOLE_WITHIN;
         let late = || Err(fault(StatusCode::REQUEST_TIMEOUT, None, "the body did not come in time"));
-        match tokio::time::timeout(WHOLE_WITHIN, read).await.unwrap_or_else(|_| late()) {
+        match tokio::time::timeout_at(by.into(), read).await.unwrap_or_else(|_| late()) {
             Ok(body) => self.calls.answer(&method, &path, &body).await,
             Err(reply) => reply,
         }
