Take the clients' socket from GW_FD; open an operators' line door with cordons

Started on the inherited socket, it was then 'not ready after 6 s': readiness is the door's health, which did not exist. Ruled out: the configuration (read without fault), memory and descriptors (125 of 384).

A cordon is the out-of-service override of the JSON listener (one core of commands), kept in TMPDIR for the next process.

Tests: control door unit tests, dispatcher/tests/door.rs on the process.

--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -9,7 +9,7 @@
 use crate::overrides::{now, Overrides};
 use crate::{peers, store};
 use actix_http::{Method, StatusCode};
-use lineroute_control::overrides::{Faulty, Order, Scope, Slot, Stamp};
+use lineroute_control::overrides::{Effect, Faulty, Order, Scope, Slot, Stamp};
 use lineroute_control::peers::Counts;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -27,6 +27,8 @@
     pub overrides: Overrides,
     pub peers: Option<peers::Handle>,
     pub store: Option<store::Handle>,
+    /// The longest that an override may last, in milliseconds: a cordon lasts so long unless it is lifted.
+    pub longest: u64,
 }
 
 /// A status and a JSON body.
@@ -174,6 +176,56 @@
         Ok(json(StatusCode::OK, &Done { id: id.into(), saved: self.saved().await, set: None }))
     }
 
+    /// Takes a worker out until [`Calls::uncordon`]: an out-of-service override for as long as any may last,
+    /// the same that `/overrides` sets. A worker that is out already stays so, untouched.
+    ///
+    /// # Errors
+    /// No list has named the worker, or the override can't be set.
+    pub fn cordon(&self, worker: &str) -> Result<&'static str, String> {
+        if !self.cordons(worker).is_empty() {
+            return Ok("cordoned already");
+        }
+        if !self.flows.was_listed(worker) {
+            return Err(format!("no worker {worker} was ever listed"));
+        }
+        let slot = Slot { worker: worker.into(), scope: Scope::OutOfService };
+        let until = now() + self.longest;
+        let order = Order { slot, weight: None, until, by: "door".into(), why: "cordon".into() };
+        // In force at once; the snapshot follows on its own, and the answer does not wait for the disk.
+        self.overrides.set(order).map_err(|faulty| faulty.to_string())?;
+        Ok("cordoned")
+    }
+
+    /// Lets a cordoned worker serve again; one that is not out is left so.
+    ///
+    /// # Errors
+    /// No list has named the worker and no override holds it.
+    pub fn uncordon(&self, worker: &str) -> Result<&'static str, String> {
+        let stamps = self.cordons(worker);
+        if stamps.is_empty() {
+            return match self.flows.was_listed(worker) {
+                true => Ok("not cordoned"),
+                false => Err(format!("no worker {worker} was ever listed")),
+            };
+        }
+        for stamp in stamps {
+            self.overrides.clear(&stamp, "door", "uncordon").map_err(|faulty| faulty.to_string())?;
+        }
+        Ok("uncordoned")
+    }
+
+    /// The ids of the out-of-service overrides in force on a worker.
+    fn cordons(&self, worker: &str) -> Vec<String> {
+        let lines = self.overrides.lines();
+        let mine = lines.into_iter().filter(|line| {
+            let slot = &line.record.slot;
+            *slot.worker == *worker
+                && slot.scope == Scope::OutOfService
+                && line.record.effect == Effect::Set(None)
+        });
+        mine.map(|line| line.record.stamp.to_string()).collect()
+    }
+
     /// Waits until what has just been written is on the disk too.
     async fn saved(&self) -> Option<bool> {
         let revision = self.overrides.with(|table| table.revision());
--- /dev/null
+++ b/dispatcher/src/admin/door.rs
@@ -0,0 +1,101 @@
+//! The operators' line door at `admin_addr`: one call a connection, `health`, `cordon ID`, `uncordon ID`,
+//! answered with a line that begins with `OK` or `ERR`. Cordons are out-of-service overrides, set and lifted
+//! through the same [`Calls`] as the JSON listener: one core of commands.
+//!
+//! Guarded against: callers that never finish their line (closed 3 s after they came), floods of connections
+//! (a bound; those beyond it hear `ERR` at once), lines that are long or not text (`ERR` and a reason).
+
+use super::Calls;
+use lineroute_control::door::{read, Call, Read, MAX_LINE};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tracing::{info, warn};
+
+/// A line must be whole this long after the connection came.
+const LINE_WITHIN: Duration = Duration::from_secs(3);
+/// An answer that the caller does not take in this time is given up.
+const WRITE_WITHIN: Duration = Duration::from_secs(1);
+/// Connections at once; beyond these a caller is told so and closed.
+const MOST_OPEN: usize = 48;
+
+/// Binds the door and serves it on this thread.
+///
+/// # Errors
+/// The address can't be bound.
+pub async fn start(at: SocketAddr, calls: Rc<Calls>) -> Result<(), String> {
+    let socket = TcpListener::bind(at).await.map_err(|e| format!("admin_addr: {at}: {e}"))?;
+    info!(addr = %at, "the operators' door listens");
+    let open = Rc::new(Cell::new(0usize));
+    actix_rt::spawn(async move {
+        loop {
+            let stream = match socket.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    warn!(error = %e, "door: accept");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            };
+            let (open, calls) = (open.clone(), calls.clone());
+            let full = open.get() >= MOST_OPEN;
+            open.set(open.get() + 1);
+            actix_rt::spawn(async move {
+                serve(stream, &calls, full).await;
+                open.set(open.get() - 1);
+            });
+        }
+    });
+    Ok(())
+}
+
+async fn serve(mut stream: TcpStream, calls: &Calls, full: bool) {
+    let answer = match full {
+        true => "ERR busy: too many calls at once, come again in 1 s".to_owned(),
+        false => match tokio::time::timeout(LINE_WITHIN, line(&mut stream)).await {
+            Ok(Some(Ok(call))) => answer(call, calls).await,
+            Ok(Some(Err(reason))) => format!("ERR {reason}"),
+            Ok(None) => return,
+            Err(_) => format!("ERR no whole line in {} s", LINE_WITHIN.as_secs()),
+        },
+    };
+    let write = async {
+        stream.write_all(format!("{answer}\n").as_bytes()).await?;
+        stream.shutdown().await
+    };
+    let _ = tokio::time::timeout(WRITE_WITHIN, write).await;
+}
+
+/// Reads until a whole line; `None` if the caller left first.
+async fn line(stream: &mut TcpStream) -> Option<Result<Call, String>> {
+    let mut bytes = Vec::with_capacity(64);
+    let mut chunk = [0u8; MAX_LINE];
+    loop {
+        let room = MAX_LINE - bytes.len();
+        let got = stream.read(&mut chunk[..room]).await.ok().filter(|n| *n > 0)?;
+        bytes.extend_from_slice(&chunk[..got]);
+        if let Read::Whole(call) = read(&bytes) {
+            return Some(call);
+        }
+    }
+}
+
+async fn answer(call: Call, calls: &Calls) -> String {
+    let done = match &call {
+        Call::Health => Ok("serving"),
+        Call::Cordon(worker) => calls.cordon(worker),
+        Call::Uncordon(worker) => calls.uncordon(worker),
+    };
+    match done {
+        Ok(words) => {
+            if !matches!(call, Call::Health) {
+                info!(?call, words, "door");
+            }
+            format!("OK {words}")
+        }
+        Err(reason) => format!("ERR {reason}"),
+    }
+}
--- a/dispatcher/src/admin/mod.rs
+++ b/dispatcher/src/admin/mod.rs
@@ -5,6 +5,7 @@
 pub mod api;
 pub mod auth;
 mod calls;
+pub mod door;
 
 pub use calls::Calls;
 
@@ -101,7 +102,7 @@
 ///
 /// # Errors
 /// The address can't be bound.
-pub async fn start(config: Admin, calls: Calls) -> Result<Handle, String> {
+pub async fn start(config: Admin, calls: Rc<Calls>) -> Result<Handle, String> {
     let socket = Socket::bind(&config.listen).await?;
     info!(addr = %socket.addr(&config.listen), "admin listens");
     let keys = Rc::new(RefCell::new(config.keys));
@@ -112,7 +113,7 @@
 
 struct Front {
     keys: Rc<RefCell<Option<AdminKeys>>>,
-    calls: Calls,
+    calls: Rc<Calls>,
     open: Cell<usize>,
 }
 
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -60,6 +60,8 @@
     #[serde(default)]
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
+    admin_addr: Option<SocketAddr>,
+    #[serde(default)]
     peers: Vec<SocketAddr>,
     settings: Map<String, Value>,
 }
@@ -149,6 +151,13 @@
         (None, given) => given.ok_or_else(|| format!("{key} is not set, and GW_CONFIG has no {field}")),
     };
     let listen = faults.take(address("GW_LISTEN", raw.listen, "listen"));
+    let inherited = faults.take(inherited(variable("GW_FD")));
+    let door = match variable("GW_ADMIN_ADDR") {
+        Some(text) => {
+            faults.take(text.parse().map(Some).map_err(|e| format!("GW_ADMIN_ADDR: {text:?}: {e}")))
+        }
+        None => Some(raw.admin_addr),
+    };
     let discovery = match operator.hosts.is_empty() {
         true => faults.take(address("GW_DISCOVERY", raw.discovery, "discovery")),
         false => None,
@@ -188,6 +197,14 @@
     let admin = admin(operator.admin.as_ref(), faults);
     let longest = longest(&operator, faults);
     let state_dir = state_dir(operator.state_dir.as_deref(), faults);
+    // Cordons set at the door outlive a replacement of the process: they pass through `$TMPDIR`.
+    let state_dir = match (state_dir, door.flatten()) {
+        (None, Some(_)) => {
+            let tmp = variable("TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from);
+            Some(tmp.join(format!("lineroute-{name}")))
+        }
+        (state_dir, _) => state_dir,
+    };
     let peers = operator.peers.as_ref().and_then(|p| peers(p, &raw, site.as_ref(), faults));
     let hints = site.as_ref().filter(|_| peers.is_none()).and_then(|site| hints(&raw, site));
     let mut free = sockets.saturating_sub(OTHER_SOCKETS);
@@ -254,6 +271,8 @@
     Some(Config {
         name,
         listen: listen?,
+        inherited: inherited?,
+        door: door?,
         discovery,
         seed: seed?,
         memory,
@@ -348,6 +367,15 @@
     (beanstalkd, http)
 }
 
+/// `$GW_FD`, where it is set: a descriptor past standard input, output and error.
+fn inherited(text: Option<String>) -> Result<Option<i32>, String> {
+    let Some(text) = text else { return Ok(None) };
+    match text.trim().parse::<i32>() {
+        Ok(fd) if fd >= 3 => Ok(Some(fd)),
+        _ => Err(format!("GW_FD: {text:?} is not a descriptor number of 3 or more")),
+    }
+}
+
 fn admin(raw: Option<&RawAdmin>, faults: &mut Faults) -> Option<Admin> {
     let raw = raw?;
     let key = |field: &str| format!("operator's file: admin.{field}");
--- a/dispatcher/src/flow.rs
+++ b/dispatcher/src/flow.rs
@@ -468,6 +468,11 @@
         core.targets.values().any(|t| &*t.name == name && t.stage != Stage::Gone)
     }
 
+    /// Whether a list ever named it, here or in a cached list.
+    pub fn was_listed(&self, name: &str) -> bool {
+        self.core.borrow().targets.values().any(|t| &*t.name == name)
+    }
+
     /// The targets that have not left, by name.
     pub fn targets(&self) -> Vec<Seen> {
         let core = self.core.borrow();
--- a/dispatcher/src/listeners/mod.rs
+++ b/dispatcher/src/listeners/mod.rs
@@ -5,3 +5,4 @@
 pub mod http;
 mod pass;
 pub mod seats;
+pub mod socket;
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -28,6 +28,7 @@
 use listeners::beanstalkd::BeanstalkdListener;
 use listeners::http::{HttpListener, Phase, Vocabulary};
 use listeners::seats::Seats;
+use listeners::socket::Origin;
 use overrides::Overrides;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, OnceCell};
@@ -113,11 +114,13 @@
     }
 }
 
-/// Starts what overrides need, as far as the operator's file asks for it.
-async fn control(config: &mut Config, flows: &Flows, budgets: &Budgets) -> Result<Reloaded, String> {
+/// Starts what overrides need, as far as the configuration asks for it. The door waits until clients are
+/// served: its `health` is the process's yes.
+async fn control(config: &mut Config, flows: &Flows, budgets: &Budgets) -> Result<Started, String> {
     let (classes, tenants) = (config.site.classes.clone(), config.site.tenants.clone());
-    if config.admin.is_none() && config.peers.is_none() && config.state_dir.is_none() {
-        return Ok(Reloaded::default());
+    let wanted = config.admin.is_some() || config.peers.is_some() || config.state_dir.is_some();
+    if !wanted && config.door.is_none() {
+        return Ok(Started::default());
     }
     let mut table = Table::new(&config.name, config.longest);
     let store = config.state_dir.as_deref().map(Store::open).transpose()?;
@@ -131,16 +134,22 @@
         Some(peers) => Some(peers::start(peers, overrides.clone()).await?),
         None => None,
     };
+    let (dispatcher, flows, longest) = (config.name.clone(), flows.clone(), config.longest);
+    let (budgets, peer) = (budgets.clone(), peers.clone());
+    let calls = admin::Calls { dispatcher, classes, flows, budgets, overrides, peers: peer, store, longest };
+    let calls = Rc::new(calls);
     let admin = match config.admin.take() {
-        Some(admin) => {
-            let (dispatcher, flows, peers) = (config.name.clone(), flows.clone(), peers.clone());
-            let budgets = budgets.clone();
-            let calls = admin::Calls { dispatcher, classes, flows, budgets, overrides, peers, store };
-            Some(admin::start(admin, calls).await?)
-        }
+        Some(admin) => Some(admin::start(admin, calls.clone()).await?),
         None => None,
     };
-    Ok(Reloaded { peers, admin })
+    Ok(Started { reloaded: Reloaded { peers, admin }, calls: Some(calls) })
+}
+
+/// What [`control`] has started.
+#[derive(Default)]
+struct Started {
+    reloaded: Reloaded,
+    calls: Option<Rc<admin::Calls>>,
 }
 
 async fn run(mut config: Config, sources: Sources) -> Result<(), String> {
@@ -182,10 +191,14 @@
     if let Some(hints) = config.hints.take() {
         peers::hints::start(hints, flows.clone()).await?;
     }
-    let control = control(&mut config, &flows, &budgets).await?;
+    let Started { reloaded: control, calls } = control(&mut config, &flows, &budgets).await?;
     let _ = reloaded.set(control);
     let Config { routes, known, .. } = config;
-    let socket = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    let origin = match config.inherited {
+        Some(fd) => Origin::Inherited(fd),
+        None => Origin::Bind(config.listen),
+    };
+    let socket = listeners::socket::open(origin).await?;
     let prefix = format!("{}-{:x}", config.name, config.seed);
     let mut front = None;
     if let Some(settings) = config.beanstalkd {
@@ -223,6 +236,9 @@
         made: Cell::new(0),
     };
     actix_rt::spawn(Rc::new(listener).serve(socket));
+    if let (Some(at), Some(calls)) = (config.door, calls) {
+        admin::door::start(at, calls).await?;
+    }
 
     term.recv().await;
     info!(flows = flows.owed(), "SIGTERM: stopping");
--- /dev/null
+++ b/dispatcher/tests/door.rs
@@ -0,0 +1,113 @@
+//! The operators' line door at `admin_addr`: what it answers, to whom, and that slow callers hold up nobody.
+
+mod common;
+
+use common::{Rig, Setup, SETTINGS};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+const DONE: &str = r#","result":"a chart""#;
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
+}
+
+/// The program with two workers and its door at a port of its own.
+fn rig() -> (Rig, SocketAddr) {
+    let door = free_port();
+    // A name of its own: the cordons of a run pass to the next process under it.
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let more = format!(r#""admin_addr": "{door}", "name": "door{}x{n}","#, std::process::id());
+    let listed = (0..2).map(|i| common::Worker::start(&format!("w{i}"))).collect::<Vec<_>>();
+    let names = listed.iter().map(|w| (w.id.clone(), w.addr)).collect();
+    let mut rig = Rig::set_up(names, SETTINGS, Setup { more, ..Setup::default() });
+    rig.workers = listed;
+    (rig, door)
+}
+
+/// The door opens just after the clients' listener: waits for it.
+fn connect(door: SocketAddr) -> TcpStream {
+    for _ in 0..500 {
+        if let Ok(stream) = TcpStream::connect(door) {
+            return stream;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("the door does not open");
+}
+
+/// Sends bytes as one call and reads the answer to its end.
+fn ask(door: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = connect(door);
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
+    stream.write_all(bytes).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+fn served(rig: &Rig, id: &str) -> usize {
+    let mut client = rig.post(id, "quote", "");
+    let (worker, seen) = rig.next();
+    seen.answer("202 Accepted");
+    rig.news(worker, id, "done", DONE);
+    assert_eq!(client.answer().status(), 200);
+    worker
+}
+
+#[test]
+fn a_cordoned_worker_gets_nothing_new_until_it_is_uncordoned() {
+    let (rig, door) = rig();
+    assert!(ask(door, b"health\n").starts_with("OK"));
+    let first = served(&rig, "c0");
+    let name = format!("w{first}");
+    assert!(ask(door, format!("cordon {name}\n").as_bytes()).starts_with("OK"));
+    // Repeated, it is the same.
+    assert!(ask(door, format!("cordon {name}\r\n").as_bytes()).starts_with("OK"));
+    for i in 1..8 {
+        assert_eq!(served(&rig, &format!("c{i}")), 1 - first, "a job went to the cordoned worker");
+    }
+    // The list says it is up meanwhile: the cordon holds.
+    rig.list(&["up", "up"]);
+    assert_eq!(served(&rig, "c8"), 1 - first);
+    assert!(ask(door, format!("uncordon {name}\n").as_bytes()).starts_with("OK"));
+    assert!(ask(door, format!("uncordon {name}\n").as_bytes()).starts_with("OK"));
+    let back = (9..60).any(|i| served(&rig, &format!("c{i}")) == first);
+    assert!(back, "the uncordoned worker got nothing");
+}
+
+#[test]
+fn wrong_lines_and_unknown_ids_get_err_with_a_reason() {
+    let (_rig, door) = rig();
+    let long = [vec![b'x'; 300], b"\n".to_vec()].concat();
+    for line in [&b"\n"[..], b"dance\n", b"cordon\n", b"cordon a b\n", b"health now\n", b"\xff\xfe\n", &long]
+    {
+        let answer = ask(door, line);
+        assert!(answer.starts_with("ERR ") && answer.len() > 5, "{line:?}: {answer:?}");
+    }
+    assert!(ask(door, b"cordon never-listed\n").starts_with("ERR"));
+    assert!(ask(door, b"uncordon never-listed\n").starts_with("ERR"));
+}
+
+#[test]
+fn callers_that_never_end_their_line_hold_up_nobody_and_are_closed() {
+    let (_rig, door) = rig();
+    let idle: Vec<TcpStream> = (0..20)
+        .map(|_| {
+            let mut stream = connect(door);
+            stream.write_all(b"heal").expect("written");
+            stream
+        })
+        .collect();
+    for _ in 0..5 {
+        assert!(ask(door, b"health\n").starts_with("OK"));
+    }
+    for mut stream in idle {
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("closed, not left open");
+        assert!(answer.starts_with("ERR"), "{answer:?}");
+    }
+}
