--- a/dispatcher/src/admin/door.rs
+++ b/dispatcher/src/admin/door.rs
@@ -19,8 +19,8 @@
 const LINE_WITHIN: Duration = Duration::from_secs(3);
 /// An answer that the caller does not take in this time is given up.
 const WRITE_WITHIN: Duration = Duration::from_secs(1);
-/// Connections at once; beyond these a caller is told so and closed.
-const MOST_OPEN: usize = 48;
+/// Connections at once; beyond these a caller is told so and closed. The sockets' budget counts them.
+pub const MOST_OPEN: usize = 48;
 
 /// Binds the door and serves it on this thread.
 ///
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -209,13 +209,17 @@
     let hints = site.as_ref().filter(|_| peers.is_none()).and_then(|site| hints(&raw, site));
     let mut free = sockets.saturating_sub(OTHER_SOCKETS);
     let fronts = [
-        ("beanstalkd.max_connections", operator.beanstalkd.as_ref().map_or(0, |f| f.max_connections)),
-        ("admin.max_connections", operator.admin.as_ref().map_or(0, |a| a.max_connections)),
+        (
+            "operator's file: beanstalkd.max_connections",
+            operator.beanstalkd.as_ref().map_or(0, |f| f.max_connections),
+        ),
+        ("operator's file: admin.max_connections", operator.admin.as_ref().map_or(0, |a| a.max_connections)),
+        ("GW_CONFIG: admin_addr", door.flatten().map_or(0, |_| crate::admin::door::MOST_OPEN)),
     ];
     for (key, taken) in fronts {
         free = free.saturating_sub(taken);
         if taken > 0 && free < OTHER_SOCKETS {
-            faults.add(format!("operator's file: {key}"), format!("{taken} leaves too few sockets"));
+            faults.add(key, format!("{taken} leaves too few sockets"));
             free = OTHER_SOCKETS;
         }
     }
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -357,6 +357,16 @@
         client
     }
 
+    /// A job, served by whoever gets it: who that was.
+    pub fn served(&self, reference: &str, class: &str) -> usize {
+        let mut client = self.post(reference, class, "");
+        let (worker, seen) = self.next();
+        seen.answer("202 Accepted");
+        self.news(worker, reference, "done", r#","result":"a chart""#);
+        assert_eq!(client.answer().status(), 200);
+        worker
+    }
+
     /// A worker's call.
     pub fn news(&self, worker: usize, reference: &str, state: &str, more: &str) {
         self.tell(&self.workers[worker].id, reference, state, more);
--- a/dispatcher/tests/door.rs
+++ b/dispatcher/tests/door.rs
@@ -7,8 +7,6 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-const DONE: &str = r#","result":"a chart""#;
-
 fn free_port() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
 }
@@ -49,12 +47,7 @@
 }
 
 fn served(rig: &Rig, id: &str) -> usize {
-    let mut client = rig.post(id, "quote", "");
-    let (worker, seen) = rig.next();
-    seen.answer("202 Accepted");
-    rig.news(worker, id, "done", DONE);
-    assert_eq!(client.answer().status(), 200);
-    worker
+    rig.served(id, "quote")
 }
 
 #[test]
--- a/dispatcher/tests/steering.rs
+++ b/dispatcher/tests/steering.rs
@@ -11,14 +11,8 @@
 const HOUR: Duration = Duration::from_secs(3600);
 const DONE: &str = r#","result":"a chart""#;
 
-/// A job, served by whoever gets it: who that was.
 fn served(rig: &Rig, id: &str, class: &str) -> usize {
-    let mut client = rig.post(id, class, "");
-    let (worker, seen) = rig.next();
-    seen.answer("202 Accepted");
-    rig.news(worker, id, "done", DONE);
-    assert_eq!(client.answer().status(), 200);
-    worker
+    rig.served(id, class)
 }
 
 #[test]
