Test the clients' socket inherited through GW_FD on the program as a process

Change: the test rig can hand a listening socket to the program as descriptor 3 (command-fds, a dev dependency) and names that socket's own address in GW_LISTEN, so a bind anew would fail; jobs are served through it.

--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -183,6 +183,8 @@
     pub args: Vec<String>,
     /// The workers' kind, where it is not the usual one.
     pub kind: Option<&'static str>,
+    /// A listening socket that the program inherits as descriptor 3, named in `GW_FD`.
+    pub inherit: Option<TcpListener>,
 }
 
 pub fn folder() -> PathBuf {
@@ -267,7 +269,7 @@
     }
 
     pub fn set_up(listed: Vec<(String, SocketAddr)>, settings: &str, setup: Setup) -> Rig {
-        let Setup { operator, more, args, kind } = setup;
+        let Setup { operator, more, args, kind, inherit } = setup;
         let kind = kind.unwrap_or("m");
         let list: Listing = Arc::new((Mutex::new((1, String::new(), 0, false)), Condvar::new()));
         let discovery = discovery(list.clone());
@@ -284,6 +286,13 @@
             std::fs::write(dir.join("operator.json"), operator).expect("a file");
             command.arg("--operator").arg(dir.join("operator.json"));
         }
+        if let Some(socket) = inherit {
+            // Its own address is given as the one to listen at too: a bind of it would fail.
+            let at = socket.local_addr().expect("an address");
+            command.env("GW_FD", "3").env("GW_LISTEN", at.to_string());
+            let mapping = command_fds::FdMapping { parent_fd: socket.into(), child_fd: 3 };
+            command_fds::CommandFdExt::fd_mappings(&mut command, vec![mapping]).expect("no collision");
+        }
         let mut child = command.args(args).spawn().expect("the program starts");
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let (mut front, mut admin, mut peer, mut said) = (None, None, None, String::new());
--- a/dispatcher/tests/door.rs
+++ b/dispatcher/tests/door.rs
@@ -1,4 +1,5 @@
-//! The operators' line door at `admin_addr`: what it answers, to whom, and that slow callers hold up nobody.
+//! What a replacement of the process relies on: the line door at `admin_addr` (what it answers, to whom, and that
+//! slow callers hold up nobody) and the clients' socket inherited through `GW_FD`.
 
 mod common;
 
@@ -115,3 +116,17 @@
         assert!(answer.starts_with("ERR"), "{answer:?}");
     }
 }
+
+#[test]
+fn with_gw_fd_the_inherited_socket_serves_and_its_address_is_never_bound_again() {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = socket.local_addr().expect("an address");
+    let listed = (0..2).map(|i| common::Worker::start(&format!("w{i}"))).collect::<Vec<_>>();
+    let names = listed.iter().map(|w| (w.id.clone(), w.addr)).collect();
+    let mut rig = Rig::set_up(names, SETTINGS, Setup { inherit: Some(socket), ..Setup::default() });
+    rig.workers = listed;
+    assert_eq!(rig.addr, at, "it listens where it was handed the socket");
+    for i in 0..3 {
+        served(&rig, &format!("c{i}"));
+    }
+}
