--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -30,6 +30,8 @@
 /// Without limits given, the program keeps within what it may always have.
 const DEFAULT_MEMORY_MB: u64 = 192;
 const DEFAULT_SOCKETS: usize = 1024;
+/// The least memory that the program is started with.
+const LEAST_MEMORY_MB: u64 = 16;
 /// Descriptors that are neither clients' nor workers': the log, timers, listeners, discovery, peers, state.
 const OTHER_SOCKETS: usize = 64;
 /// Dispatchers of a tier, at most: the talk between them is made for fewer.
@@ -184,8 +186,9 @@
     if sockets < OTHER_SOCKETS * 2 {
         faults.add("GW_CONFIG: limits.sockets", format!("{sockets} is under {}", OTHER_SOCKETS * 2));
     }
-    if memory_mb < 32 {
-        faults.add("GW_CONFIG: limits.memory_mb", format!("{memory_mb} is under 32"));
+    // The platform may halve its limits (16 MB of 32); below that the bounds in bytes leave too little.
+    if memory_mb < LEAST_MEMORY_MB {
+        faults.add("GW_CONFIG: limits.memory_mb", format!("{memory_mb} is under {LEAST_MEMORY_MB}"));
     }
     let memory = (memory_mb as usize) << 20;
     check_routes(&operator, faults);
