Go by own jobs and reports of free slots; read load reports and cost hints off the wire

Cause: a report was held to be stale after an eighth of a tick, so that every look probed (Balancer::fresh_for, look), and one that came replaced the count of own sends, though it is up to 1.5 s old (Worker::take_report). On sockets X-Load-Report, the load of a call and X-Call-Cost were dropped (targets/http.rs, listeners/http.rs). Change: where reports tell of free slots alone, own slots count as they are, and what others hold is averaged from the reports against the average of own ones; gaps go by all jobs; no look probes. Where worth is by work, held jobs go by slack over worth, by the client's hint. The design's order stands: the smallest gap among available workers.

--- a/benches/pick.rs
+++ b/benches/pick.rs
@@ -47,6 +47,7 @@
         zone: None,
         worth_by_work: false,
         prices: Prices::default(),
+        counts: true,
         tail_slack: None,
     }
 }
@@ -77,7 +78,8 @@
     actions.clear();
     let id = RequestId(id.to_string().into());
     let (class, deadline) = (ClassId((now % 3) as usize), now + 5000 * MS);
-    let request = Request { id: id.clone(), class, tenant: None, key: None, deadline, slots: 1.0 };
+    let request =
+        Request { id: id.clone(), class, tenant: None, key: None, deadline, slots: 1.0, work: None };
     balancer.handle(now, Event::Request(request), actions);
     let (outcome, attempt, spent) = (Outcome::Served, AttemptNo(0), 50 * MS);
     let end = Closed { id, attempt, outcome, complete: true, spent, report: None };
--- a/dispatcher/src/facade.rs
+++ b/dispatcher/src/facade.rs
@@ -3,10 +3,10 @@
 //! don't leave this file, and neither does its clock, the only one that decisions rest on.
 
 use lineroute::{
-    Action, AttemptNo, Balancer, CellId, ClassId, Closed, Event, Key, KindId, Micros, Overrides, Request,
-    RequestId, SettingsError, TenantId, WorkerEntry, WorkerId, ZoneId,
+    Action, AttemptNo, Balancer, CellId, ClassId, Closed, Event, Key, KindId, Micros, Overrides, Report,
+    Request, RequestId, SettingsError, TenantId, WorkerEntry, WorkerId, ZoneId,
 };
-pub use lineroute::{ListKind, Outcome, Settings, Stage};
+pub use lineroute::{ListKind, Outcome, ReportSource, Settings, Stage};
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -26,6 +26,8 @@
     pub tenant: Option<usize>,
     pub key: Option<String>,
     pub slots: f64,
+    /// Its running time as the client guesses it.
+    pub work: Option<Duration>,
     pub deadline: Instant,
 }
 
@@ -61,6 +63,17 @@
     pub pins: Vec<Pinned>,
 }
 
+/// A target's own account of its load, as far as it gives one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Free slots.
+    pub free: Option<f64>,
+    /// Jobs waiting.
+    pub waiting: Option<f64>,
+    /// Jobs in hand, waiting ones included.
+    pub held: Option<f64>,
+}
+
 /// What has happened.
 #[derive(Debug)]
 pub enum News {
@@ -80,8 +93,9 @@
         /// The flow has its final answer.
         over: bool,
         spent: Duration,
+        load: Option<Load>,
     },
-    Probed(TargetId, Outcome),
+    Probed(TargetId, Outcome, Option<Load>),
     /// Peers tell of a target: their forwards there, and whether it has just refused one.
     Others(TargetId, u32, bool),
 }
@@ -178,6 +192,7 @@
             key: ask.key.map(|k| Key(k.into())),
             deadline: self.clock.at(ask.deadline),
             slots: ask.slots,
+            work: ask.work.map(|work| work.as_micros() as Micros),
         };
         let mut decisions = self.handle(Event::Request(request));
         let decided = decisions.iter().any(|d| match d {
@@ -209,16 +224,16 @@
             News::Progress(flow, number, share) => {
                 Event::Progress(request_id(flow), AttemptNo(number), share)
             }
-            News::Ended { flow, number, outcome, over, spent } => Event::Closed(Closed {
+            News::Ended { flow, number, outcome, over, spent, load } => Event::Closed(Closed {
                 id: request_id(flow),
                 attempt: AttemptNo(number),
                 outcome,
                 complete: over,
                 spent: spent.as_micros() as Micros,
-                report: None,
+                report: load.map(report),
             }),
-            News::Probed(target, outcome) => {
-                Event::Probed { worker: WorkerId(target.0), outcome, report: None }
+            News::Probed(target, outcome, load) => {
+                Event::Probed { worker: WorkerId(target.0), outcome, report: load.map(report) }
             }
         };
         self.handle(event)
@@ -284,6 +299,10 @@
     FlowId(id.0.parse().unwrap_or(u64::MAX))
 }
 
+fn report(load: Load) -> Report {
+    Report { free_slots: load.free, waiting: load.waiting, held: load.held }
+}
+
 fn entry(listed: &Listed) -> WorkerEntry {
     WorkerEntry {
         worker: WorkerId(listed.target.0),
--- a/dispatcher/src/flow.rs
+++ b/dispatcher/src/flow.rs
@@ -6,7 +6,7 @@
 //! ended (`Effect`), so a listener or a target may call back at once.
 
 use crate::body::{Body, Reader};
-use crate::facade::{Ask, Decision, Facade, FlowId, Listed, News, Outcome, Stage, Steer, TargetId};
+use crate::facade::{Ask, Decision, Facade, FlowId, Listed, Load, News, Outcome, Stage, Steer, TargetId};
 use bytes::Bytes;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::any::Any;
@@ -38,6 +38,8 @@
     /// By this targets know a repeat.
     pub idempotency: Option<String>,
     pub slots: f64,
+    /// Its running time as the client guesses it.
+    pub work: Option<Duration>,
     /// What is asked for, where the wire has such a thing.
     pub path: String,
     /// What a front says to a carrier of the same wire. The core never looks at it.
@@ -333,6 +335,7 @@
                 tenant: job.tenant,
                 key: job.key.clone(),
                 slots: job.slots,
+                work: job.work,
                 deadline: until,
             };
             core.deadlines.insert((until, id));
@@ -423,19 +426,24 @@
 
     /// A forward has ended. Said again, or of one that ended otherwise before, it changes nothing.
     pub fn ended(&self, ticket: Ticket, outcome: Outcome, result: Option<Bytes>) {
+        self.ended_with(ticket, outcome, result, None);
+    }
+
+    /// The same, with the target's account of its load.
+    pub fn ended_with(&self, ticket: Ticket, outcome: Outcome, result: Option<Bytes>, load: Option<Load>) {
         let effects = {
             let core = &mut *self.core.borrow_mut();
-            core.ended(ticket, outcome, result, &self.watch)
+            core.ended(ticket, outcome, result, load, &self.watch)
         };
         self.carry_out(effects);
     }
 
     /// A probe has ended.
-    pub fn probed(&self, target: TargetId, outcome: Outcome) {
+    pub fn probed(&self, target: TargetId, outcome: Outcome, load: Option<Load>) {
         if !matches!(outcome, Outcome::Served | Outcome::Moot) {
             self.core.borrow_mut().changed.push((target, None));
         }
-        self.report(News::Probed(target, outcome));
+        self.report(News::Probed(target, outcome, load));
     }
 
     /// The list could not be had, or the watch broke.
@@ -636,7 +644,7 @@
                 Effect::Probe(id, place) => targets[place.carrier].probe(id, place.addr),
                 Effect::Closed(id, carrier) => targets[carrier].closed(id),
                 Effect::Unreachable(ticket) => self.ended(ticket, Outcome::NoRoute, None),
-                Effect::ProbeFailed(id) => self.probed(id, Outcome::NoRoute),
+                Effect::ProbeFailed(id) => self.probed(id, Outcome::NoRoute, None),
             }
         }
         self.settled.notify_one();
@@ -727,6 +735,7 @@
         ticket: Ticket,
         outcome: Outcome,
         result: Option<Bytes>,
+        load: Option<Load>,
         watch: &Notify,
     ) -> Vec<Effect> {
         if !self.is_out(ticket) {
@@ -763,7 +772,7 @@
             warn!(flow = ticket.flow.0, target = %out.forward.name, class = flow.job.class,
                 outcome = ?outcome, "an answer was cut short");
         }
-        let news = News::Ended { flow: ticket.flow, number, outcome, over, spent };
+        let news = News::Ended { flow: ticket.flow, number, outcome, over, spent, load };
         let decisions = self.facade.report(news);
         effects.extend(self.effects(decisions, watch));
         self.drop_if_over(ticket.flow);
@@ -782,7 +791,7 @@
         if let Some(out) = &flow.out {
             let ticket = out.forward.ticket;
             effects.extend(self.cancel(id));
-            effects.extend(self.ended(ticket, Outcome::TimedOut, None, watch));
+            effects.extend(self.ended(ticket, Outcome::TimedOut, None, None, watch));
         }
         let Some(flow) = self.flows.get_mut(&id) else { return effects };
         if now < flow.until + OVERDUE {
--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -134,6 +134,7 @@
             key: None,
             idempotency: Some(format!("{}-{id}", self.prefix)),
             slots: 1.0,
+            work: None,
             path: self.settings.path.clone(),
             detail: None,
             body: Body::Whole(body),
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -31,6 +31,8 @@
 /// What a client is told that this dispatcher can't take on: others may have room at once.
 pub(super) const BUSY_RETRY: Duration = Duration::from_millis(250);
 const LONGEST_ID: usize = 128;
+/// More than a day of work is no guess.
+const LONGEST_WORK_US: f64 = 86_400e6;
 /// What is said to those whom the server never came to speak with.
 const NO_SEAT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\n\
     Content-Length: 0\r\n\r\n";
@@ -308,6 +310,9 @@
         let slots = info.split(',').filter_map(|pair| pair.trim().split_once('='));
         let slots = slots.filter(|(name, _)| *name == "width").find_map(|(_, v)| v.parse::<f64>().ok());
         let slots = slots.filter(|s| s.is_finite() && *s > 0.0).unwrap_or(1.0);
+        // A guess that can't be read is none: it must not cost the job its place.
+        let work = text(headers, "x-call-cost")?.and_then(|us| us.trim().parse::<f64>().ok());
+        let work = work.filter(|us| us.is_finite() && *us >= 1.0).map(|us| us.min(LONGEST_WORK_US));
         let owned = |name| Ok::<_, &'static str>(text(headers, name)?.map(str::to_owned));
         let job = Job {
             reference: id,
@@ -316,6 +321,7 @@
             key: owned("x-route-hash")?,
             idempotency: owned("idempotency-key")?,
             slots,
+            work: work.map(|us| Duration::from_micros(us as u64)),
             path: request.uri().path_and_query().map_or("/".into(), |p| p.as_str().to_owned()),
             detail: None,
             body: Body::Whole(Bytes::new()),
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -20,7 +20,7 @@
 use body::Budgets;
 use cli::RunArgs;
 use config::{Config, Faults, Occasion, Sources};
-use facade::{Facade, ListKind};
+use facade::{Facade, ListKind, ReportSource};
 use flow::{Bounds, Flows};
 use lineroute_control::overrides::Table;
 use lineroute_control::watch::WatchPace;
@@ -169,11 +169,12 @@
     let connect_within = Duration::from_micros(site.connect_timeout);
     let keepalive = Duration::from_micros(site.settings.allowed.keepalive);
     let pace = WatchPace::new(site.settings.instances, site.settings.rules.ask_within / 1000, config.seed);
+    let reports = site.settings.report != ReportSource::Silent;
     let facade = Facade::new(site.settings, config.seed).map_err(|e| e.to_string())?;
     let flows = Flows::new(facade, bounds);
     let budgets = Budgets::new(config.memory / STREAM_PART, STREAM_FLOOR, STREAM_CEILING);
     let client = HttpClient::new(connect_within, keepalive, config.outbound);
-    let targets = HttpTargets::new(flows.clone(), client.clone(), connect_within);
+    let targets = HttpTargets::new(flows.clone(), client.clone(), connect_within, reports);
     flows.plug(Rc::new(targets.clone()));
     let mut carriers = FxHashMap::default();
     for workers in &config.workers {
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -206,7 +206,11 @@
                         Ok(link) => link.expect("list-tube-used\r\n", &["USING"]).await.is_ok(),
                         Err(_) => false,
                     };
-                    self.flows.probed(server.target, if alive { Outcome::Served } else { Outcome::NoRoute });
+                    self.flows.probed(
+                        server.target,
+                        if alive { Outcome::Served } else { Outcome::NoRoute },
+                        None,
+                    );
                     !alive
                 }
             };
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -1,7 +1,8 @@
 //! Workers that speak the platform's HTTP: a job is posted, taken with 202, and its fate comes as calls to
 //! the dispatcher's own address (`HttpTargets::news`). After the 202 a forward lives without a connection.
 
-use crate::facade::{Outcome, TargetId};
+use super::load::{self, LOAD_HEADER};
+use crate::facade::{Load, Outcome, TargetId};
 use crate::flow::{Flows, Forward, Target, Ticket};
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{header, Method};
@@ -211,6 +212,7 @@
         let exchange = async {
             let mut response = if has_body { request.send_body(body).await? } else { request.send().await? };
             let rejected = response.headers().get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
+            let load = response.headers().get(LOAD_HEADER).and_then(|v| load::from_line(v.to_str().ok()?));
             let mut body = BytesMut::new();
             // Read to its end, also where nobody wants it: only then is the connection free again.
             while let Some(chunk) = response.next().await {
@@ -220,7 +222,7 @@
                 }
                 body.extend_from_slice(&chunk);
             }
-            Ok(HttpAnswer { status: response.status().as_u16(), rejected, body: body.freeze() })
+            Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.freeze() })
         };
         let answer = tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout));
         if let Err(CallError::Broken(_)) = answer {
@@ -233,6 +235,7 @@
 struct HttpAnswer {
     status: u16,
     rejected: bool,
+    load: Option<Load>,
     body: Bytes,
 }
 
@@ -246,6 +249,8 @@
     pub share: Option<f64>,
     #[serde(default)]
     pub result: Option<serde_json::Value>,
+    #[serde(default)]
+    pub load: Option<serde_json::Value>,
 }
 
 struct Out {
@@ -262,12 +267,14 @@
     flows: Flows,
     client: HttpClient,
     connect_within: Duration,
+    /// Workers report their load: probes ask for it.
+    reports: bool,
     out: Rc<RefCell<FxHashMap<String, Out>>>,
 }
 
 impl HttpTargets {
-    pub fn new(flows: Flows, client: HttpClient, connect_within: Duration) -> Self {
-        HttpTargets { flows, client, connect_within, out: Rc::default() }
+    pub fn new(flows: Flows, client: HttpClient, connect_within: Duration, reports: bool) -> Self {
+        HttpTargets { flows, client, connect_within, reports, out: Rc::default() }
     }
 
     /// Takes a worker's call. It may come before the 202, again, or of an attempt that is over: only what
@@ -300,19 +307,27 @@
             serde_json::Value::String(text) => Bytes::from(text),
             other => Bytes::from(other.to_string()),
         });
-        self.end(&news.id, ticket, end, result);
+        let load = news.load.as_ref().and_then(|l| load::from_object(l.as_object()?));
+        self.end(&news.id, ticket, end, result, load);
         true
     }
 
     /// Ends a forward here and in the core, unless it has ended already.
-    fn end(&self, reference: &str, ticket: Ticket, outcome: Outcome, result: Option<Bytes>) {
+    fn end(
+        &self,
+        reference: &str,
+        ticket: Ticket,
+        outcome: Outcome,
+        result: Option<Bytes>,
+        load: Option<Load>,
+    ) {
         {
             let mut out = self.out.borrow_mut();
             if out.get(reference).is_some_and(|o| o.ticket == ticket) {
                 out.remove(reference);
             }
         }
-        self.flows.ended(ticket, outcome, result);
+        self.flows.ended_with(ticket, outcome, result, load);
     }
 
     fn is_out(&self, forward: &Forward) -> bool {
@@ -370,7 +385,7 @@
         let job = &forward.job;
         if !self.flows.stands(forward) {
             // The worker began to drain between the decision and this moment: nothing is sent.
-            return self.end(&job.reference, forward.ticket, Outcome::Moot, None);
+            return self.end(&job.reference, forward.ticket, Outcome::Moot, None, None);
         }
         debug!(flow = forward.ticket.flow.0, forward = forward.ticket.number, target = %forward.name, "forward sent");
         let left = forward.until.saturating_duration_since(Instant::now());
@@ -386,6 +401,7 @@
         let (addr, body, within) = (forward.addr, job.body.whole(), left.min(TAKEN_WITHIN));
         let answer =
             self.client.call(Method::POST, addr, &job.path, &headers, body, within, MAX_ANSWER).await;
+        let load = answer.as_ref().ok().and_then(|answer| answer.load);
         let outcome = match answer {
             Ok(HttpAnswer { status: 202, .. }) => return,
             Ok(HttpAnswer { status: 503 | 504, rejected: true, .. }) => Outcome::NoRoom,
@@ -402,7 +418,7 @@
                 Outcome::Cut
             }
         };
-        self.end(&job.reference, forward.ticket, outcome, None);
+        self.end(&job.reference, forward.ticket, outcome, None, load);
     }
 }
 
@@ -432,14 +448,17 @@
                 closed = posting.then(Instant::now);
             }
             this.call_back(&forward, closed).await;
-            this.end(&forward.job.reference, forward.ticket, Outcome::Cancelled, None);
+            this.end(&forward.job.reference, forward.ticket, Outcome::Cancelled, None, None);
         });
     }
 
     fn probe(&self, target: TargetId, addr: SocketAddr) {
         let this = self.clone();
         actix_rt::spawn(async move {
-            let outcome = match this.client.get(addr, "/alive", PROBE_WITHIN, MAX_ANSWER).await {
+            let path = if this.reports { "/metrics/load" } else { "/alive" };
+            let call = this.client.get(addr, path, PROBE_WITHIN, MAX_ANSWER).await;
+            let load = call.as_ref().ok().and_then(|(_, body)| load::from_body(body));
+            let outcome = match call {
                 Ok((200, _)) => Outcome::Served,
                 Ok((503, _)) => Outcome::NoRoom,
                 Ok(_) => Outcome::Fault,
@@ -450,7 +469,7 @@
             if outcome != Outcome::Served {
                 debug!(target = %addr, outcome = ?outcome, "a probe failed");
             }
-            this.flows.probed(target, outcome);
+            this.flows.probed(target, outcome, load);
         });
     }
 }
--- a/dispatcher/src/targets/mod.rs
+++ b/dispatcher/src/targets/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod beanstalkd;
 pub mod http;
+pub mod load;
 pub mod upstream;
--- a/dispatcher/src/targets/upstream.rs
+++ b/dispatcher/src/targets/upstream.rs
@@ -484,7 +484,7 @@
         actix_rt::spawn(async move {
             let connected = tokio::time::timeout(this.0.connect_within, TcpStream::connect(addr)).await;
             let outcome = if matches!(connected, Ok(Ok(_))) { Outcome::Served } else { Outcome::NoRoute };
-            this.0.flows.probed(target, outcome);
+            this.0.flows.probed(target, outcome, None);
         });
     }
 }
--- /dev/null
+++ b/dispatcher/tests/load.rs
@@ -0,0 +1,75 @@
+//! Workers' accounts of their load and clients' guesses at the work, over the wire: where they stand, and what
+//! the program makes of them. The workers tell neither of starts nor of what they hold.
+
+mod common;
+
+use common::{Rig, SETTINGS};
+use rstest::rstest;
+
+/// Answers carry free slots alone; worth is by work, so that held jobs go by their slack.
+fn settings() -> String {
+    let thin = r#""report": {"source": "piggyback", "fields": ["x0", "load_share"]}, "worth_by": "work","#;
+    let silent = SETTINGS.replace(r#""tells_start": true"#, r#""tells_start": false"#);
+    silent.replace(r#""discovery": "ask","#, &format!(r#""discovery": "ask", {thin}"#))
+}
+
+/// Connections are served in the order they came: whoever is answered knows that those before were read.
+fn settle(rig: &Rig) {
+    let mut client = rig.connect();
+    client.send("GET /up", "", "");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[rstest]
+#[case::in_a_call(true)]
+#[case::in_the_header_of_an_answer(false)]
+fn a_report_says_how_many_jobs_go_to_a_worker_at_once(#[case] call: bool) {
+    let rig = Rig::with(1, &settings(), None);
+    let mut first = rig.post("first", "quote", "");
+    let seen = rig.workers[0].next();
+    if call {
+        seen.answer("202 Accepted");
+        rig.news(0, "first", "done", r#","result":"a chart","load":{"x0":2.0,"load_share":0.4}"#);
+    } else {
+        seen.answer("503 No\r\nX-Rejected: 1\r\nX-Load-Report: TEXT x0=2.0, load_share=0.4");
+        assert_eq!(rig.workers[0].take(), "first");
+        rig.news(0, "first", "done", r#","result":"a chart""#);
+    }
+    assert_eq!(first.answer().status(), 200);
+    // Two slots: two jobs go out, the third waits here until one of them ends.
+    let mut clients: Vec<_> = ["a", "b", "c"].iter().map(|id| rig.post(id, "quote", "")).collect();
+    settle(&rig);
+    let mut out = [rig.workers[0].take(), rig.workers[0].take()];
+    out.sort();
+    assert!(rig.workers[0].has_none(), "no third one goes out");
+    let waits = (0..3).find(|i| !out.contains(&["a", "b", "c"][*i].to_owned())).expect("one waits");
+    rig.news(0, &out[0], "done", r#","result":"a chart""#);
+    assert_eq!(rig.workers[0].take(), ["a", "b", "c"][waits]);
+    rig.news(0, &out[1], "done", r#","result":"a chart""#);
+    rig.news(0, ["a", "b", "c"][waits], "done", r#","result":"a chart""#);
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().status(), 200));
+}
+
+/// The guess says how long a job can wait: the longest comes last. One that can't be read is no error.
+#[test]
+fn a_guess_at_the_work_orders_what_waits() {
+    let rig = Rig::with(1, &settings(), None);
+    let mut first = rig.post("first", "quote", "");
+    assert_eq!(rig.workers[0].take(), "first");
+    rig.news(0, "first", "done", r#","result":"a chart","load":{"x0":1.0}"#);
+    assert_eq!(first.answer().status(), 200);
+    let mut clients = vec![rig.post("running", "quote", "")];
+    assert_eq!(rig.workers[0].take(), "running");
+    for (id, cost) in [("long", "4000000"), ("none", "a lot"), ("short", "90000.5")] {
+        clients.push(rig.post(id, "quote", &format!("X-Call-Cost: {cost}\r\n")));
+    }
+    settle(&rig);
+    let mut order = vec!["running".to_owned()];
+    for _ in 0..3 {
+        rig.news(0, order.last().expect("one is out"), "done", r#","result":"a chart""#);
+        order.push(rig.workers[0].take());
+    }
+    rig.news(0, &order[3], "done", r#","result":"a chart""#);
+    assert_eq!(order, ["running", "short", "none", "long"]);
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().status(), 200));
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -109,6 +109,9 @@
 struct RawReport {
     #[serde(default)]
     source: Option<String>,
+    /// The names of the figures; absent: all that there are.
+    #[serde(default)]
+    fields: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -259,6 +262,11 @@
             may_shed_begun: raw.rules.may_shed_begun,
             dropped_stay_open: raw.rules.dropped_stay_open,
         },
+        counts: raw
+            .report
+            .fields
+            .as_ref()
+            .is_none_or(|f| f.iter().any(|f| f == "concurrent" || f == "depth")),
         progress: micros(raw.specifics.progress_ms),
         tells_start: raw.specifics.tells_start,
         zone: raw.zone.map(ZoneId),
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -178,14 +178,14 @@
         let realm: Option<usize> = f.int_opt("realm")?;
         let key = f.optional("object")?.map(|k| Key(k.into()));
         let deadline = f.time("give_up_at_ms")?;
-        f.number_opt("work_hint_ms")?;
+        let work = f.time_opt("work_hint_ms")?.filter(|&work| work > 0);
         let slots = f.number_opt("width")?.unwrap_or(1.0);
         f.number_opt("mem_needed")?;
         f.flag("resent")?;
         f.flag("is_write")?;
         f.flag("came_back")?;
         let tenant = instance.has_tenants.then(|| TenantId(realm.unwrap_or(0)));
-        Ok(Event::Request(Request { id, class, tenant, key, deadline, slots }))
+        Ok(Event::Request(Request { id, class, tenant, key, deadline, slots, work }))
     }
 
     fn handle(&mut self, event: Event) -> Result<(), String> {
--- a/src/api.rs
+++ b/src/api.rs
@@ -61,6 +61,8 @@
     pub allowed: Allowed,
     /// Parameters of the four rules.
     pub rules: Rules,
+    /// Reports tell how many jobs a worker holds or has waiting, not only of free slots.
+    pub counts: bool,
     /// Time between progress notes of a running job; 0: none come.
     pub progress: Micros,
     /// Workers tell when a job begins, by [`Event::Begun`].
@@ -340,6 +342,8 @@
     pub deadline: Micros,
     /// Slots it takes.
     pub slots: f64,
+    /// Its running time on a standard core as the client guesses it, where clients do.
+    pub work: Option<Micros>,
 }
 
 /// How an attempt or a probe ended.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -47,6 +47,13 @@
 const TAIL_PART: f64 = 5.0;
 /// A request that so many workers answered with an error fails anywhere.
 const FAULTS: usize = 3;
+/// Room left at a worker for what is not known of others' jobs there, in slots.
+const DOUBT: f64 = 0.5;
+/// Held jobs wait this many slacks, over their worth, for those that come later. Guards short ones in a shortage.
+const SLACKS: f64 = 4.0;
+/// What others hold at a worker follows what reports tell by this part; those are of about so long ago.
+pub const FOREIGN_PART: f64 = 0.3;
+pub const REPORT_LAG: f64 = 1e6;
 /// Seconds that a rate of requests looks back.
 pub const RATE_SPAN_S: f64 = 4.0;
 /// An instance has little traffic when so many times its open requests are fewer than the workers.
@@ -74,8 +81,7 @@
 /// Reports stay set aside for so many usual response times after the last one caught late.
 const LATE_FOR: f64 = 4.0;
 
-/// Each instance's part of the first wait before a list that could not be had is asked for again: such a call
-/// costs discovery its time too, and one may fail by its connection alone.
+/// Each instance's part of the first wait before a list that failed is asked for again: calls cost discovery time.
 const AGAIN_EACH: Micros = 120_000;
 
 impl JobType {
@@ -121,9 +127,8 @@
 }
 
 impl Worker {
-    /// Rules 3 and 7. Where only draining binds, lists prove little: a drain once seen binds the process
-    /// whatever later lists say, and one left out stays until it could not be reached. Guards against old,
-    /// shrunken and empty lists; costs an attempt at each worker that is gone without having drained.
+    /// Rules 3 and 7. Where only draining binds, lists prove little, being old, shrunken or empty: a drain once
+    /// seen binds the process whatever they say, and one left out stays until it could not be reached.
     pub fn is_candidate(&self, rules: &Rules) -> bool {
         match self.entry.stage {
             Stage::Ready => !(rules.dropped_stay_open && self.drained),
@@ -132,12 +137,14 @@
         }
     }
 
-    /// The design's availability: the job's slots are free by the report, or, without such a figure, no
-    /// job as large was turned away lately.
+    /// The design's availability: the job's slots are free by the report, else no job as large was refused lately.
     fn available(&self, slots: f64, now: Micros, late: bool) -> bool {
         // Free slots are for those that wait already; own jobs out take slots, whatever an old report says.
         let free = |free: f64| if late { self.slots } else { free - self.waiting.round() };
         let left = self.free.map(|f| free(f).min(self.slots - self.out_slots));
+        if let Some(foreign) = self.foreign {
+            return !self.refused(slots, now) && self.out_slots + foreign + slots <= self.slots + DOUBT;
+        }
         // Without reports: a job that has not begun waits for a slot.
         let waits = self.free.is_none()
             && self.mute < MUTE_AFTER
@@ -162,7 +169,7 @@
     /// Whether peers' hints leave no room at a worker beside so many slots to be left.
     fn is_crowded(&self, w: Ix, left: f64, now: Micros) -> bool {
         let worker = &self.workers[w];
-        let full = worker.entry.size > 0.0 && f64::from(worker.crowd()) + 0.5 + left > self.fits(w);
+        let full = worker.entry.size > 0.0 && worker.crowd() + 0.5 + left > self.fits(w);
         now < self.hinted && (now < worker.shunned || full)
     }
 
@@ -173,8 +180,8 @@
     }
 
     /// A job began at once beside so many others, far more than were held to fit: more do.
-    fn learn_fit(&mut self, w: Ix, crowd: u32) {
-        if self.workers[w].entry.size > 0.0 && f64::from(crowd) > self.fits(w) * FAR_MORE {
+    fn learn_fit(&mut self, w: Ix, crowd: f64) {
+        if self.workers[w].entry.size > 0.0 && crowd > self.fits(w) * FAR_MORE {
             *self.fit.entry(self.workers[w].entry.kind).or_insert(1.0) *= FIT_RISE;
         }
     }
@@ -212,8 +219,7 @@
     /// Whether the last request of a class found none to serve it in time.
     short: Vec<bool>,
     highest: f64,
-    /// Part of the requests for which a zone has room, by how long jobs wait there, where that is learnt: how
-    /// it rises at each short wait, in falls at a long one.
+    /// Part of the requests that a zone has room for, by waits there, and how it rises at a short one, if learnt.
     room: FxHashMap<ZoneId, f64>,
     rise: Option<f64>,
     blind: bool,
@@ -244,11 +250,8 @@
 
     /// Whether to refuse a request of a tenant above the level that capacity allows.
     fn over(&mut self, now: Micros, tenant: TenantId, settings: &Settings, rng: &mut Rng) -> bool {
-        let used = |rate: &Rate, t: &Tenant| {
-            // A rate that rests on few requests is known to their square root: the doubt is the tenant's.
-            let count = rate.count(now);
-            (count - count.sqrt()).max(0.0) / RATE_SPAN_S / t.quota_per_s.max(1e-9)
-        };
+        // The doubt of a rate is the tenant's.
+        let used = |rate: &Rate, t: &Tenant| rate.at_least(now) / t.quota_per_s.max(1e-9);
         let mut uses: Vec<f64> = self.rates.iter().zip(&settings.tenants).map(|(r, t)| used(r, t)).collect();
         let own = uses[tenant.0];
         let middle = uses.len() / 2;
@@ -348,9 +351,8 @@
             }
             Event::Begun(id, number) => self.begun(&id, number),
             Event::Progress(id, number, _) => {
-                if let Some(a) = self.jobs.get_mut(&id).and_then(|j| j.attempt(number)) {
-                    a.sign = self.now;
-                }
+                let attempt = self.jobs.get_mut(&id).and_then(|j| j.attempt(number));
+                attempt.into_iter().for_each(|a| a.sign = now);
             }
             Event::Closed(end) => self.closed(end),
             Event::Others { worker, out, refused } => {
@@ -493,16 +495,14 @@
         let heeds = self.now + (job.request.deadline - job.arrived) / HEED_PART < job.request.deadline;
         let yields = |slack: Micros| f64::from(u8::from(waited > slack || waits(slack)));
         self.fleet.workers[ix].available(job.request.slots, self.now, late)
-            && !(heeds && self.fleet.is_crowded(ix, yields(self.slack(class)), self.now))
+            && !(heeds && self.fleet.is_crowded(ix, yields(self.slack(class, None)), self.now))
     }
 
-    /// The design's order: by the jobs of the type here, or, where peers tell of theirs, by all jobs.
-    fn gap(&self, t: &JobType, w: Ix, crowd: u32) -> (f32, f32) {
+    /// The design's order: by the jobs of the type here, or, where others' are told of, by all jobs.
+    fn gap(&self, t: &JobType, w: Ix, crowd: Option<f64>) -> (f32, f32) {
         let (gap, share) = t.gap(w);
-        if crowd == 0 {
-            return (gap, share);
-        }
-        (self.fleet.workers[w].crowd() as f32 + share * crowd as f32, share)
+        let by_all = crowd.map(|crowd| self.fleet.workers[w].crowd() as f32 + share * crowd as f32);
+        (by_all.unwrap_or(gap), share)
     }
 
     fn slot_time(&self, job: &Job, w: Ix) -> f64 {
@@ -528,10 +528,9 @@
         jobs(self.now) - jobs(self.now.saturating_sub(span)) >= 1.0 + spent / cost
     }
 
-    /// Candidates of the next look. While own jobs of the type are fewer than the workers, gaps are near zero
-    /// and say little: candidates are then drawn in proportion to α, the share in expectation, and not all
-    /// instances meet at the same fast worker. Else, and while reports are late, when measured times are all
-    /// there is to go by, they are the first in the design's order.
+    /// Candidates of the next look: the first in the design's order. While own jobs of the type are fewer than
+    /// the workers, gaps say little: unless measured times are all there is to go by, candidates are then drawn
+    /// in proportion to α, the share in expectation, and not all instances meet at the same fast worker.
     fn pick(&mut self, id: &RequestId) -> Vec<Ix> {
         let (now, late) = (self.now, self.late());
         let Some(job) = self.jobs.get(id) else { return Vec::new() };
@@ -568,7 +567,7 @@
         // Fewer instances than workers, and no reports: they can't all meet, and own jobs are what is known.
         let alone = self.admission.blind && (self.settings.instances as usize) < ready.len();
         let crowd = self.fleet.crowd(class, now);
-        let few = (t.out as usize) < ready.len() && !late && !alone && crowd == 0;
+        let few = (t.out as usize) < ready.len() && !late && !alone && crowd.is_none();
         let look = if few && self.admission.blind { 1 } else { LOOK };
         // Suspicion never empties the fleet: with nobody trusted, all are candidates of the last look.
         let ignore = job.seen.is_empty() && job.looks + 1 >= LOOKS;
@@ -620,10 +619,8 @@
     }
 
     fn fresh_for(&self, class: usize) -> Micros {
-        match self.settings.report {
-            ReportSource::Answers => self.tick / 8,
-            _ => (self.class_time[class] * REPORT_AGE) as Micros,
-        }
+        let renewed = self.settings.report == ReportSource::Answers;
+        (if renewed { self.tick as f64 / 8.0 } else { self.class_time[class] * REPORT_AGE }) as Micros
     }
 
     fn place(&mut self, id: &RequestId) {
@@ -643,11 +640,11 @@
             let picks = if job.looks < LOOKS { self.pick(id) } else { Vec::new() };
             let age = self.fresh_for(self.jobs[id].request.class.0);
             let several = picks.len() > 1 || self.jobs[id].attempts > 0;
-            let asks = several && !self.admission.blind && !self.late();
+            let asks = several && self.settings.counts && !self.admission.blind && !self.late();
             let mut waits = false;
             for &w in &picks {
                 let worker = &self.fleet.workers[w];
-                if (asks || worker.dark) && !worker.fresh(self.now, age) {
+                if worker.dark || asks && !worker.fresh(self.now, age) {
                     waits = self.settings.allowed.probe;
                     self.ask(w);
                 }
@@ -730,12 +727,16 @@
         }
     }
 
-    /// Order of held requests: those still in time first, then by worth for the time that a slot is taken.
+    /// Order of held requests: those in time first, by arrival and slack for their worth, else by what they take.
     fn rank(&self, id: &RequestId) -> (bool, u64) {
         let Some(job) = self.jobs.get(id) else { return (false, 0) };
-        let class = job.request.class.0;
-        let late = self.now.saturating_sub(job.arrived) > self.settings.classes[class].aim;
-        (late, (1.0 / self.earns(class)) as u64)
+        let (class, waited) = (job.request.class.0, self.now.saturating_sub(job.arrived));
+        if !self.settings.worth_by_work {
+            return (waited > self.settings.classes[class].aim, (1.0 / self.earns(class)) as u64);
+        }
+        let slack = self.slack(job.request.class, job.request.work);
+        let spared = (slack as f64 * SLACKS / self.settings.classes[class].worth.max(1e-9)) as Micros;
+        (waited > slack, if waited > slack { spared } else { job.arrived + spared })
     }
 
     fn earns(&self, class: usize) -> f64 {
@@ -749,7 +750,7 @@
         let (cost, span) = (self.slot_time(job, ix), self.settings.rules.overload_for / 2);
         let (Some(job), w) = (self.jobs.get_mut(id), &mut self.fleet.workers[ix]) else { return };
         let awaited = w.mute < MUTE_AFTER;
-        w.sent(job.request.slots, awaited, self.now + self.settings.allowed.keepalive);
+        w.sent(job.request.slots, awaited, self.now, self.settings.allowed.keepalive);
         if self.now > w.cold.0 + span {
             w.cold = (self.now, 0.0);
         }
@@ -759,7 +760,7 @@
         }
         let place = (w.entry.zone, w.entry.cell);
         let little = self.open * LITTLE < self.fleet.ready[job.request.class.0].len();
-        let crowd = w.crowd() - 1;
+        let crowd = w.crowd() - 1.0;
         let before = w.held.filter(|_| little && w.fresh(self.now, age));
         let (number, now) = (AttemptNo(job.attempts), self.now);
         let cancelled = false;
@@ -778,19 +779,20 @@
         let Some(job) = self.jobs.get(id) else { return Micros::MAX };
         // Guards against calling back a job that is merely long: where it has no copy, its work is lost.
         let (class, alone) = (job.request.class, !self.settings.allowed.parallel);
-        let alone = alone.then(|| self.slack(class) as f64 * OVERDUE_ALONE);
+        let alone = alone.then(|| self.slack(class, None) as f64 * OVERDUE_ALONE);
         let patience = alone.unwrap_or(self.class_time[class.0] * OVERDUE) * f64::from(job.attempts.max(1));
         patience.max(self.settings.progress as f64 * 1.25) as Micros
     }
 
-    /// A job of usual length that waits longer will miss its aim.
-    fn slack(&self, class: ClassId) -> Micros {
+    /// A job that waits longer will miss its aim, if it runs as long as its hint says, else as usual.
+    fn slack(&self, class: ClassId, work: Option<Micros>) -> Micros {
         let c = &self.settings.classes[class.0];
-        c.aim + ((c.stretch - 1.0).max(0.0) * self.class_time[class.0]) as Micros
+        let work = work.map_or(self.class_time[class.0], |work| work as f64);
+        c.aim + ((c.stretch - 1.0).max(0.0) * work) as Micros
     }
 
     fn due_at(&self, id: &RequestId, a: &Attempt) -> Micros {
-        let (slack, patience) = (self.slack(self.jobs[id].request.class), self.overdue_after(id));
+        let (slack, patience) = (self.slack(self.jobs[id].request.class, None), self.overdue_after(id));
         let copies = a.awaited && self.settings.allowed.parallel;
         a.sign + if copies { patience.min(slack / START_PART) } else { patience }.max(1)
     }
@@ -809,7 +811,7 @@
             other.cancelled = true;
             self.actions.push(Action::Cancel(id.clone(), other.number));
         }
-        let slack = self.slack(class);
+        let slack = self.slack(class, None);
         self.admission.waited(self.fleet.workers[ix].entry.zone, waited > slack);
         let w = &mut self.fleet.workers[ix];
         if waited > slack / START_PART {
@@ -835,7 +837,7 @@
         let before = job.failed.first().copied().filter(|_| outcome == Outcome::Fault);
         job.failed.extend((outcome == Outcome::Fault).then_some(ix));
         self.profiles.types[job_type].count(ix, false);
-        self.fleet.workers[ix].ended(request.slots, self.now + self.settings.allowed.keepalive);
+        self.fleet.workers[ix].ended(request.slots, self.now, self.settings.allowed.keepalive);
         self.fleet.workers[ix].mute += u32::from(outcome == Outcome::Served && attempt.awaited);
         self.fleet.workers[ix].begins(&mut attempt);
         self.heard(ix, report.as_ref());
@@ -967,9 +969,8 @@
                     self.actions.push(Action::Cancel(id.clone(), a.number));
                 }
             }
-            if job.looking.take().is_some() {
-                self.looking.retain(|l| l != id);
-            }
+            job.looking = None;
+            self.looking.retain(|l| l != id);
             if std::mem::replace(&mut job.held, false) {
                 self.held.retain(|h| h != id);
             }
@@ -1114,7 +1115,7 @@
         }
         late.sort();
         for (id, at) in late {
-            let (overdue, slack) = (self.overdue_after(&id), self.slack(self.jobs[&id].request.class));
+            let (overdue, slack) = (self.overdue_after(&id), self.slack(self.jobs[&id].request.class, None));
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let (class, ix) = (job.request.class, job.out[at].worker);
             // Not begun is no symptom yet: the worker is full.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,9 @@
 //! The state that decisions rest on, and its upkeep. What is concluded from it is in `src/balance.rs`.
 
 use crate::api::*;
-use crate::balance::{MUTE_AFTER, PRIOR_JOBS, PROFILE_SPAN, RATE_SPAN_S, ROOM_FALL, ROOM_RISE};
+use crate::balance::{
+    FOREIGN_PART, MUTE_AFTER, PRIOR_JOBS, PROFILE_SPAN, RATE_SPAN_S, REPORT_LAG, ROOM_FALL, ROOM_RISE,
+};
 use lru::LruCache;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
@@ -139,6 +141,10 @@
     pub connected: Micros,
     /// Jobs of peers there, by their hints, and until when a refusal that one met keeps jobs away.
     pub others: u32,
+    /// Slots that others hold there, averaged, where reports tell of free slots and not of who holds the rest.
+    pub foreign: Option<f64>,
+    /// Own slots there, averaged over about the age of a report, and when that was last brought on.
+    pub own: (f64, Micros),
     pub shunned: Micros,
     /// When a span of half the rule's began, and the slot time sent since.
     pub cold: (Micros, f64),
@@ -197,24 +203,25 @@
         (rules.cold_from + (1.0 - rules.cold_from) * part).min(1.0)
     }
 
-    /// Its report is recent enough to go by.
+    /// Its report is recent enough to go by. One of free slots alone goes into an average, which stands.
     pub fn fresh(&self, now: Micros, age: Micros) -> bool {
-        self.reported.is_some_and(|at| now.saturating_sub(at) <= age)
+        self.foreign.is_some() || self.reported.is_some_and(|at| now.saturating_sub(at) <= age)
     }
 
-    /// Own jobs and those of peers there.
-    pub fn crowd(&self) -> u32 {
-        self.out + self.others
+    /// Own jobs and those of peers there, by hints or reports.
+    pub fn crowd(&self) -> f64 {
+        f64::from(self.out) + f64::from(self.others).max(self.foreign.unwrap_or(0.0))
     }
 
     /// An attempt goes there.
-    pub fn sent(&mut self, slots: f64, awaited: bool, open_until: Micros) {
+    pub fn sent(&mut self, slots: f64, awaited: bool, now: Micros, keepalive: Micros) {
+        self.average(now);
         self.awaited += u32::from(awaited);
         self.left = 0;
         self.out += 1;
         self.out_slots += slots;
         self.free = self.free.map(|f| f - slots);
-        self.connected = self.connected.max(open_until);
+        self.connected = self.connected.max(now + keepalive);
     }
 
     /// The start of an attempt there is awaited no longer.
@@ -224,11 +231,12 @@
     }
 
     /// An attempt there ended.
-    pub fn ended(&mut self, slots: f64, open_until: Micros) {
+    pub fn ended(&mut self, slots: f64, now: Micros, keepalive: Micros) {
+        self.average(now);
         self.out = self.out.saturating_sub(1);
         self.out_slots = (self.out_slots - slots).max(0.0);
         self.free = self.free.map(|f| f + slots);
-        self.connected = self.connected.max(open_until);
+        self.connected = self.connected.max(now + keepalive);
     }
 
     /// An own job has begun there, at once or after a wait: how many of ours find room beside the others'?
@@ -241,6 +249,13 @@
         }
     }
 
+    /// Brings the average of own slots on to this moment, before they change or a report is read.
+    fn average(&mut self, now: Micros) {
+        let (own, since) = self.own;
+        let kept = (-(now.saturating_sub(since) as f64) / REPORT_LAG).exp();
+        self.own = (self.out_slots + (own - self.out_slots) * kept, now);
+    }
+
     pub fn take_report(&mut self, report: &Report, now: Micros) {
         if let Some(free) = report.free_slots.filter(|f| f.is_finite() && *f >= 0.0) {
             self.free = Some(free);
@@ -249,6 +264,11 @@
             let running = report.held.zip(report.waiting).map(|(h, w)| h - w).filter(|r| r.is_finite());
             self.slots = self.slots.max((free + running.unwrap_or(0.0)).round().min(1e6));
             self.full = self.full.filter(|(size, _)| free < *size);
+            if report.held.is_none() && report.waiting.is_none() {
+                self.average(now);
+                let (seen, known) = ((self.slots - free - self.own.0).max(0.0), self.foreign.unwrap_or(0.0));
+                self.foreign = Some(known + (seen - known) * FOREIGN_PART);
+            }
         }
         if let Some(waiting) = report.waiting.filter(|w| w.is_finite() && *w >= 0.0) {
             self.waiting = waiting;
@@ -411,14 +431,11 @@
         self.hinted = now + HINTED;
     }
 
-    /// Jobs of all dispatchers at the workers of a class; 0: peers tell nothing.
-    pub fn crowd(&self, class: usize, now: Micros) -> u32 {
-        let all = self.ready[class].iter().map(|&w| self.workers[w].crowd());
-        if now < self.hinted {
-            all.sum::<u32>().max(1)
-        } else {
-            0
-        }
+    /// Jobs of all dispatchers at the workers of a class, where peers or reports tell of those of others.
+    pub fn crowd(&self, class: usize, now: Micros) -> Option<f64> {
+        let all = self.ready[class].iter().map(|&w| &self.workers[w]);
+        let told = now < self.hinted || all.clone().any(|w| w.foreign.is_some());
+        told.then(|| all.map(Worker::crowd).sum::<f64>().max(1.0))
     }
 
     pub fn typical_slots(&mut self) {
@@ -441,7 +458,7 @@
     pub place: (ZoneId, CellId),
     pub cancelled: bool,
     /// Jobs of all dispatchers that were there when it was sent, as far as known.
-    pub crowd: u32,
+    pub crowd: f64,
     /// Its start is awaited.
     pub awaited: bool,
     /// Requests that the worker had in hand by a fresh report when this was sent.
@@ -527,6 +544,12 @@
         self.count * (-(now.saturating_sub(self.at) as f64 / 1e6) / RATE_SPAN_S).exp()
     }
 
+    /// Events a second, less doubt: a rate that rests on few is known to their square root.
+    pub fn at_least(&self, now: Micros) -> f64 {
+        let count = self.count(now);
+        (count - count.sqrt()).max(0.0) / RATE_SPAN_S
+    }
+
     pub fn add(&mut self, now: Micros) {
         *self = Rate { count: self.count(now) + 1.0, at: now };
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,6 +52,7 @@
         zone: None,
         worth_by_work: false,
         prices: Prices::default(),
+        counts: true,
         tail_slack: None,
     }
 }
@@ -76,6 +77,7 @@
         key: None,
         deadline,
         slots: 1.0,
+        work: None,
     }
 }
 
--- /dev/null
+++ b/tests/reports.rs
@@ -0,0 +1,130 @@
+//! Workers whose answers tell of free slots alone, rarely and late, and clients that guess at the work: what
+//! the module makes of them. Nobody tells who holds the slots that are not free.
+
+mod common;
+
+use common::{entry, request, settings, Host, MS};
+use lineroute::*;
+
+/// Two workers, a class that wants its answer soon and one that can wait, worth by work.
+fn site() -> Settings {
+    let mut s = settings();
+    s.instances = 3;
+    s.counts = false;
+    s.worth_by_work = true;
+    s.allowed.probe = true;
+    s.classes[0].aim = 150 * MS;
+    s.classes[0].stretch = 2.0;
+    s.classes[1].aim = 1000 * MS;
+    s.classes[1].deadline = 25_000 * MS;
+    s.classes[1].stretch = 2.0;
+    s
+}
+
+fn sends(actions: &[Action]) -> Vec<(String, u32)> {
+    let send = |action: &Action| match action {
+        Action::Send { id, worker, .. } => Some((id.0.to_string(), worker.0)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn probes(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Probe(_))).count()
+}
+
+fn free(slots: f64) -> Option<Report> {
+    Some(Report { free_slots: Some(slots), ..Report::default() })
+}
+
+/// Serves one job at each worker, which then reports so many free slots, for some rounds a second apart.
+fn taught(reports: [f64; 2], rounds: u64) -> (Host, Micros) {
+    let mut host = Host::new(site(), 7);
+    host.list(0, ListKind::Cached, (1..=2).map(|i| entry(i, 0, None)).collect());
+    // Both have shown four slots.
+    for worker in 1..=2 {
+        let report = free(4.0);
+        host.event(1, Event::Probed { worker: WorkerId(worker), outcome: Outcome::Served, report });
+    }
+    let mut now = MS;
+    for round in 0..rounds {
+        for job in 0..2 {
+            now += 500 * MS;
+            let id = 1000 + round * 2 + job;
+            let placed = sends(&host.event(now, Event::Request(request(id, 0, now + 5000 * MS))));
+            for (id, worker) in placed {
+                let report = free(reports[worker as usize - 1]);
+                host.close(now + 100 * MS, &id, 0, Outcome::Served, 100 * MS, report);
+            }
+        }
+        for (worker, free_slots) in (1..).zip(reports) {
+            let (outcome, report) = (Outcome::Served, free(free_slots));
+            host.event(now + 200 * MS, Event::Probed { worker: WorkerId(worker), outcome, report });
+        }
+    }
+    (host, now + 400 * MS)
+}
+
+/// A probe costs the worker its time, and its report is no fresher than that of an answer.
+#[test]
+fn no_request_costs_a_probe_where_answers_report() {
+    let (mut host, now) = taught([4.0, 4.0], 3);
+    let mut asked = 0;
+    for i in 0..20 {
+        let acts = host.event(now + i * 50 * MS, Event::Request(request(i, 0, now + 9000 * MS)));
+        asked += probes(&acts);
+        for (id, _) in sends(&acts) {
+            asked += probes(&host.close(now + i * 50 * MS, &id, 0, Outcome::Served, MS, free(4.0)));
+        }
+    }
+    assert_eq!(asked, 0);
+}
+
+/// A worker that others fill gets less, though this dispatcher has nothing out there.
+#[test]
+fn slots_that_others_hold_are_left_out_of_account() {
+    let (mut host, now) = taught([0.0, 4.0], 12);
+    let mut at = [0; 2];
+    for i in 0..4 {
+        for (_, worker) in sends(&host.event(now, Event::Request(request(i, 1, now + 25_000 * MS)))) {
+            at[worker as usize - 1] += 1;
+        }
+    }
+    assert_eq!(at, [0, 4], "worker 1 is full of other dispatchers' jobs");
+}
+
+/// Guards against queues at workers, which nobody can reorder, while own jobs out are not in any report yet.
+#[test]
+fn what_does_not_fit_by_own_count_waits_here_whatever_an_old_report_says() {
+    let (mut host, now) = taught([4.0, 4.0], 3);
+    let mut placed = 0;
+    for i in 0..12 {
+        placed += sends(&host.event(now, Event::Request(request(i, 1, now + 25_000 * MS)))).len();
+    }
+    assert_eq!(placed, 8, "four slots at each of two workers");
+    // Each that ends makes room for one.
+    let acts = host.close(now + 900 * MS, "0", 0, Outcome::Served, 900 * MS, free(0.0));
+    assert_eq!(sends(&acts).len(), 1);
+}
+
+/// By hint: a short job misses its aim first, a long one can wait the longer the more it has to do.
+#[test]
+fn of_those_that_wait_the_one_with_least_slack_for_its_worth_goes_first() {
+    let (mut host, now) = taught([4.0, 4.0], 3);
+    for i in 0..8 {
+        host.event(now, Event::Request(request(i, 1, now + 25_000 * MS)));
+    }
+    let mut wait = |id, class, work: Micros| {
+        let job = Request { work: Some(work), ..request(id, class, now + 25_000 * MS) };
+        assert!(sends(&host.event(now + MS, Event::Request(job))).is_empty(), "{id} waits");
+    };
+    wait(10, 1, 4000 * MS);
+    wait(11, 1, 400 * MS);
+    wait(12, 0, 300 * MS);
+    let mut order = Vec::new();
+    for i in 0..3 {
+        let acts = host.close(now + 3000 * MS, &i.to_string(), 0, Outcome::Served, 2999 * MS, free(0.0));
+        order.extend(sends(&acts).into_iter().map(|(id, _)| id));
+    }
+    assert_eq!(order, ["12", "11", "10"]);
+}
