Miss a job by its hint: eight slacks where no start is told, five from the start told

Cause: overdue_after measured a job of unknown length by its class's usual time, though run times spread over two orders of magnitude, and counted the wait in a worker's queue as silence.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,8 +37,8 @@
 const TICKS_PER_AIM: Micros = 4;
 /// A job is overdue when nothing came of it for so many usual response times, or 1.25 progress intervals.
 const OVERDUE: f64 = 2.5;
-/// The same in slacks, where it must be called back first. Guards against few times measured, and long tails.
-const OVERDUE_ALONE: f64 = 5.0;
+/// The same in slacks, where it must be called back first; the second where no start is told, and a wait counts in.
+const OVERDUE_ALONE: [f64; 2] = [5.0, 8.0];
 /// A job that may be repeated, and waits longer than this part of what it can afford, gets a copy elsewhere.
 const START_PART: Micros = 6;
 /// Reports by probe alone are renewed seldom: one younger than this part of a response time still stands.
@@ -263,7 +263,6 @@
     }
 }
 
-/// How long to wait after a first failure before the list is asked for again.
 fn first_wait(settings: &Settings) -> Micros {
     Micros::from(settings.instances.max(1)) * AGAIN_EACH
 }
@@ -779,7 +778,8 @@
         let Some(job) = self.jobs.get(id) else { return Micros::MAX };
         // Guards against calling back a job that is merely long: where it has no copy, its work is lost.
         let (class, alone) = (job.request.class, !self.settings.allowed.parallel);
-        let alone = alone.then(|| self.slack(class, None) as f64 * OVERDUE_ALONE);
+        let times = OVERDUE_ALONE[usize::from(!self.settings.tells_start)];
+        let alone = alone.then(|| self.slack(class, job.request.work) as f64 * times);
         let patience = alone.unwrap_or(self.class_time[class.0] * OVERDUE) * f64::from(job.attempts.max(1));
         patience.max(self.settings.progress as f64 * 1.25) as Micros
     }
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -128,3 +128,44 @@
     }
     assert_eq!(order, ["12", "11", "10"]);
 }
+
+/// Nothing tells that a job has begun: how long one may stay out without being missed goes by its hint.
+#[test]
+fn a_job_is_missed_the_later_the_longer_it_was_said_to_run() {
+    let (mut host, now) = taught([4.0, 4.0], 3);
+    for (id, work) in [(1, 100 * MS), (2, 4000 * MS)] {
+        let job = Request { work: Some(work), ..request(id, 1, now + 60_000 * MS) };
+        assert_eq!(sends(&host.event(now, Event::Request(job))).len(), 1);
+    }
+    let mut called_back = Vec::new();
+    for second in 1..=50 {
+        let acts = host.advance(now + second * 1000 * MS);
+        called_back.extend(acts.iter().filter_map(|action| match action {
+            Action::Cancel(id, _) => Some((id.0.to_string(), second)),
+            _ => None,
+        }));
+        for (id, _) in &called_back {
+            host.close(now + second * 1000 * MS, id, 0, Outcome::Cancelled, 1000 * MS, None);
+        }
+    }
+    let [(first, early), (second, late)] = &called_back[..] else { panic!("{called_back:?}") };
+    assert_eq!((&first[..], &second[..]), ("1", "2"));
+    assert!(*early <= 12 && *late >= 25, "{called_back:?}");
+}
+
+/// In doubt it ran: what may not run twice is neither called back nor sent again, however long nothing comes.
+#[test]
+fn what_may_not_run_twice_gets_no_second_attempt_when_nothing_comes_back() {
+    let (mut host, now) = taught([4.0, 4.0], 3);
+    let job = Request { work: Some(100 * MS), ..request(1, 2, now + 5000 * MS) };
+    assert_eq!(sends(&host.event(now, Event::Request(job))).len(), 1);
+    let acts = host.advance(now + 4999 * MS);
+    assert!(sends(&acts).is_empty() && !acts.iter().any(|a| matches!(a, Action::Cancel(..))), "{acts:?}");
+    let acts = host.close(now + 5000 * MS, "1", 0, Outcome::TimedOut, 5000 * MS, None);
+    assert!(sends(&acts).is_empty(), "{acts:?}");
+    assert!(
+        !acts.iter().any(|a| matches!(a, Action::Refuse { .. })),
+        "a refusal would promise that it never ran"
+    );
+    assert_eq!(host.finals("1"), 1);
+}
