Follow the agent that lists are pushed to: nobody asked it, and drains were not seen

Change: list::follow asks the agent ten times a second, waits 0.1 s for news and 0.3 s in all, so a silent agent is asked again well within any drain's time. Not taken: having the module subscribe under push too; it would hang a duty of the wire on a decision, and an agent costs nothing to ask.

--- a/dispatcher/src/facade.rs
+++ b/dispatcher/src/facade.rs
@@ -6,7 +6,7 @@
     Action, AttemptNo, Balancer, CellId, ClassId, Closed, Event, Key, KindId, Micros, Overrides, Report,
     Request, RequestId, SettingsError, TenantId, WorkerEntry, WorkerId, ZoneId,
 };
-pub use lineroute::{ListKind, Outcome, ReportSource, Settings, Stage};
+pub use lineroute::{Discovery, ListKind, Outcome, ReportSource, Settings, Stage};
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -3,16 +3,17 @@
 
 use crate::facade::{ListKind, Listed, Stage};
 use crate::flow::{Entry, Flows, Place};
-use crate::targets::http::HttpClient;
+use crate::targets::http::{CallError, HttpClient};
 use futures_util::FutureExt;
 use lineroute_control::watch::WatchPace;
 use rustc_hash::FxHashMap;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 /// How long an answer may take beyond that: discovery handles calls in turn.
 const NEWS_WITHIN: Duration = Duration::from_millis(1500);
@@ -22,6 +23,11 @@
 const MAX_LIST_BYTES: usize = 4 << 20;
 /// The least time between two calls that bring nothing: guards against a discovery that does not wait.
 const LEAST_GAP: Duration = Duration::from_millis(20);
+/// Where lists are pushed: how long a call may wait for news, how much longer it may take, and the least time between
+/// two. Together they stay far under the time that any platform leaves for drains.
+const PUSHED_WAIT: Duration = Duration::from_millis(100);
+const PUSHED_WITHIN: Duration = Duration::from_millis(200);
+const PUSHED_GAP: Duration = Duration::from_millis(100);
 
 /// A list, as discovery words it.
 #[derive(Clone, Debug, Deserialize)]
@@ -31,6 +37,16 @@
     pub servers: Vec<Host>,
 }
 
+impl HostList {
+    fn kind(&self) -> ListKind {
+        if self.full {
+            ListKind::Full
+        } else {
+            ListKind::Delta
+        }
+    }
+}
+
 /// One worker in a list.
 #[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
 pub struct Host {
@@ -140,43 +156,33 @@
                 (asked_at, after, wait) = (at, None, Duration::ZERO);
             }
             let Some(at) = at else { break };
-            let path = match after {
-                Some(v) => format!("/discovery/hosts?after={v}&wait_ms={}", wait.as_millis()),
-                None => "/discovery/hosts".into(),
-            };
             let asked = tokio::time::Instant::now();
             let within = if wait.is_zero() { ANSWER_WITHIN } else { wait + NEWS_WITHIN };
             let answer = tokio::select! {
-                answer = client.get(at, &path, within, MAX_LIST_BYTES) => answer,
+                answer = call(&client, at, after, wait, within) => answer,
                 // Guards against waiting on a discovery that has been replaced: what the new one has to tell
                 // counts as told soon.
                 Ok(()) = discovery.changed() => continue,
             };
             let took_ms = asked.elapsed().as_millis() as u64;
             match answer {
-                Ok((200, body)) => match serde_json::from_slice::<HostList>(&body) {
-                    Ok(list) => {
-                        after = Some(list.version);
-                        let (version, lines) = (list.version, list.servers.len());
-                        debug!(version, lines, full = list.full, took_ms, "discovery: a list came");
-                        let kind = if list.full { ListKind::Full } else { ListKind::Delta };
-                        take(&flows, &mut names, &list, kind);
-                        let gap = pace.answered(lines > 0, took_ms);
-                        wait = Duration::from_millis(pace.wait());
-                        if lines == 0 {
-                            tokio::time::sleep_until(asked + LEAST_GAP).await;
-                        }
-                        pause(gap, &mut discovery).await;
-                        continue;
+                Ok(list) => {
+                    after = Some(list.version);
+                    let (version, lines) = (list.version, list.servers.len());
+                    debug!(version, lines, full = list.full, took_ms, "discovery: a list came");
+                    take(&flows, &mut names, &list, list.kind());
+                    let gap = pace.answered(lines > 0, took_ms);
+                    wait = Duration::from_millis(pace.wait());
+                    if lines == 0 {
+                        tokio::time::sleep_until(asked + LEAST_GAP).await;
                     }
-                    Err(e) => {
-                        warn!(discovery = %at, error = %e, "discovery: list not understood");
-                        // What could not be read is asked for whole.
-                        after = None;
-                    }
-                },
-                Ok((status, _)) => warn!(discovery = %at, status, took_ms, "discovery: no list came"),
-                Err(e) => warn!(discovery = %at, error = %e, took_ms, "discovery: no list came"),
+                    pause(gap, &mut discovery).await;
+                    continue;
+                }
+                Err(e) => {
+                    warn!(discovery = %at, error = %e, took_ms, "discovery: no list came");
+                    after = after.filter(|_| !matches!(e, NoList::Unreadable(_)));
+                }
             }
             pace.failed(asked.elapsed().as_millis() as u64);
             break;
@@ -187,17 +193,105 @@
     }
 }
 
+/// Follows the agent on this machine that lists are pushed to, whoever wants them: what it holds counts as told,
+/// and the module, to which changes come by themselves here, never asks. The agent answers at once and says nothing
+/// while discovery is down, so each call is short and the next one comes soon. Never ends.
+pub async fn follow(
+    flows: Flows,
+    client: HttpClient,
+    mut discovery: watch::Receiver<Option<SocketAddr>>,
+    mut names: Names,
+    known: Option<u64>,
+) {
+    let (mut after, mut asked_at) = (known, *discovery.borrow_and_update());
+    let mut silent = false;
+    loop {
+        let (asked, at) = (tokio::time::Instant::now(), *discovery.borrow_and_update());
+        if at != asked_at {
+            // Another agent counts its versions by itself.
+            (asked_at, after) = (at, None);
+        }
+        let Some(at) = at else {
+            match discovery.changed().await {
+                Ok(()) => continue,
+                Err(_) => return,
+            }
+        };
+        match call(&client, at, after, PUSHED_WAIT, PUSHED_WAIT + PUSHED_WITHIN).await {
+            Ok(list) => {
+                after = Some(list.version);
+                if list.full || !list.servers.is_empty() {
+                    debug!(version = list.version, lines = list.servers.len(), "discovery: a list came");
+                    take(&flows, &mut names, &list, list.kind());
+                }
+                if std::mem::take(&mut silent) {
+                    info!(discovery = %at, "discovery: lists come again");
+                }
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut silent, true) {
+                    warn!(discovery = %at, error = %e, "discovery: no list comes");
+                }
+                after = after.filter(|_| !matches!(e, NoList::Unreadable(_)));
+            }
+        }
+        pause_until(asked + PUSHED_GAP, &mut discovery).await;
+    }
+}
+
+/// Why a call brought no list.
+#[derive(Debug)]
+enum NoList {
+    Call(CallError),
+    Status(u16),
+    /// What could not be read is asked for whole the next time.
+    Unreadable(serde_json::Error),
+}
+
+impl fmt::Display for NoList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NoList::Call(e) => write!(f, "{e}"),
+            NoList::Status(status) => write!(f, "status {status}"),
+            NoList::Unreadable(e) => write!(f, "not understood: {e}"),
+        }
+    }
+}
+
+/// Asks for what is newer than a version, or for the whole list.
+async fn call(
+    client: &HttpClient,
+    at: SocketAddr,
+    after: Option<u64>,
+    wait: Duration,
+    within: Duration,
+) -> Result<HostList, NoList> {
+    let path = match after {
+        Some(v) => format!("/discovery/hosts?after={v}&wait_ms={}", wait.as_millis()),
+        None => "/discovery/hosts".into(),
+    };
+    match client.get(at, &path, within, MAX_LIST_BYTES).await {
+        Ok((200, body)) => serde_json::from_slice(&body).map_err(NoList::Unreadable),
+        Ok((status, _)) => Err(NoList::Status(status)),
+        Err(e) => Err(NoList::Call(e)),
+    }
+}
+
 /// Waits, unless discovery moves.
 async fn pause(span: u64, discovery: &mut watch::Receiver<Option<SocketAddr>>) {
     if span > 0 {
-        let moved = discovery.wait_for({
-            let at = *discovery.borrow();
-            move |now| *now != at
-        });
-        let _ = tokio::time::timeout(Duration::from_millis(span), moved).await;
+        pause_until(tokio::time::Instant::now() + Duration::from_millis(span), discovery).await;
     }
 }
 
+async fn pause_until(until: tokio::time::Instant, discovery: &mut watch::Receiver<Option<SocketAddr>>) {
+    let moved = discovery.wait_for({
+        let at = *discovery.borrow();
+        move |now| *now != at
+    });
+    let _ = tokio::time::timeout_at(until, moved).await;
+}
+
 /// Stands in for discovery where the operator's file lists the hosts: nothing ever changes. Never ends.
 pub async fn stand(flows: Flows) {
     loop {
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -20,7 +20,7 @@
 use body::Budgets;
 use cli::RunArgs;
 use config::{Config, Faults, Occasion, Sources};
-use facade::{Facade, ListKind, ReportSource};
+use facade::{Discovery, Facade, ListKind, ReportSource};
 use flow::{Bounds, Flows};
 use lineroute_control::overrides::Table;
 use lineroute_control::watch::WatchPace;
@@ -170,6 +170,7 @@
     let keepalive = Duration::from_micros(site.settings.allowed.keepalive);
     let pace = WatchPace::new(site.settings.instances, site.settings.rules.ask_within / 1000, config.seed);
     let reports = site.settings.report != ReportSource::Silent;
+    let pushed = site.settings.discovery == Discovery::Push;
     let facade = Facade::new(site.settings, config.seed).map_err(|e| e.to_string())?;
     let flows = Flows::new(facade, bounds);
     let budgets = Budgets::new(config.memory / STREAM_PART, STREAM_FLOOR, STREAM_CEILING);
@@ -217,6 +218,10 @@
     actix_rt::spawn(async move { clock.run_clock().await });
     let version = known.map(|k| k.version);
     match config.discovery {
+        Some(_) if pushed => {
+            let followed = list::follow(flows.clone(), client, discovery_at, names, version);
+            drop(actix_rt::spawn(followed))
+        }
         Some(_) => {
             let watched = list::watch(flows.clone(), client, discovery_at, names, version, pace);
             drop(actix_rt::spawn(watched))
