Look at suspects only where nobody is trusted; weigh cold workers' jobs by their hint

Each job that waits has one look left, the last look drops trust when no trusted worker has room (pick: ignore), and the dead have room. Ruled out: connections that hang (all refused), lists. Change: the last look drops trust only where no worker of the class is trusted. Not taken: leaving the dead out for good; with all of them dead nothing would be tried. And cold_allows weighs a job by its hint: a heavy one counted as the mean of its class, several times too little.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -505,7 +505,7 @@
     }
 
     fn slot_time(&self, job: &Job, w: Ix) -> f64 {
-        let r = self.profiles.types[job.job_type].mean(w);
+        let r = job.request.work.map(|work| work as f64).or(self.profiles.types[job.job_type].mean(w));
         r.unwrap_or(self.class_time[job.request.class.0]) * job.request.slots.max(1.0)
     }
 
@@ -569,7 +569,8 @@
         let few = (t.out as usize) < ready.len() && !late && !alone && crowd.is_none();
         let look = if few && self.admission.blind { 1 } else { LOOK };
         // Suspicion never empties the fleet: with nobody trusted, all are candidates of the last look.
-        let ignore = job.seen.is_empty() && job.looks + 1 >= LOOKS;
+        let all_suspect = || !ready.iter().any(|&w| self.fleet.trusted(w, &job.request, now));
+        let ignore = job.seen.is_empty() && job.looks + 1 >= LOOKS && all_suspect();
         let near = |w: Ix| late || self.extras(w, job) <= job.looks;
         let mut drawn: Vec<Ix> = Vec::with_capacity(look);
         if few {
@@ -762,8 +763,7 @@
         let crowd = w.crowd() - 1.0;
         let before = w.held.filter(|_| little && w.fresh(self.now, age));
         let (number, now) = (AttemptNo(job.attempts), self.now);
-        let cancelled = false;
-        let (sent, sign) = (now, now);
+        let (sent, sign, cancelled) = (now, now, false);
         job.out.push(Attempt { number, worker: ix, sent, sign, place, cancelled, crowd, awaited, before });
         job.attempts += 1;
         let worker = w.entry.worker;
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -169,3 +169,45 @@
     );
     assert_eq!(host.finals("1"), 1);
 }
+
+/// Jobs that wait for room elsewhere looked at a dead worker at every tick, 40 times a second and more.
+#[test]
+fn a_dead_worker_is_not_looked_at_by_every_job_that_waits() {
+    let (mut host, now) = taught([4.0, 4.0], 3);
+    // Worker 2 dies: it is found out, and probes fail.
+    let dead = |worker| Event::Probed { worker: WorkerId(worker), outcome: Outcome::NoRoute, report: None };
+    host.event(now, dead(2));
+    host.event(now + MS, dead(2));
+    for i in 0..9 {
+        host.event(now + 2 * MS, Event::Request(request(i, 1, now + 25_000 * MS)));
+    }
+    let mut asked = 0;
+    for step in 1..=100 {
+        let at = now + step * 10 * MS;
+        let mut acts = host.advance(at);
+        while probes(&acts) > 0 {
+            asked += probes(&acts);
+            acts = host.event(at, dead(2));
+        }
+    }
+    assert!(asked <= 6, "{asked} probes in a second");
+}
+
+/// By its hint one heavy job alone can be too much for a worker that has just started; light ones are not.
+#[test]
+fn a_cold_worker_gets_no_heavy_job_before_its_part_of_the_budget_has_grown_by_it() {
+    let placed_after = |work: Micros| {
+        let mut host = Host::new(site(), 3);
+        host.list(0, ListKind::Cached, vec![entry(1, 0, Some(1))]);
+        let mut now = 2;
+        let job = Request { work: Some(work), ..request(1, 1, 60_000 * MS) };
+        let mut acts = host.event(now, Event::Request(job));
+        while sends(&acts).is_empty() && now < 50_000 * MS {
+            now += 20 * MS;
+            acts = host.advance(now);
+        }
+        now / MS
+    };
+    let (light, heavy) = (placed_after(20 * MS), placed_after(8000 * MS));
+    assert!(light < 1000 && heavy > light + 1000, "light after {light} ms, heavy after {heavy} ms");
+}
