--- a/dispatcher/tests/load.rs
+++ b/dispatcher/tests/load.rs
@@ -73,3 +73,41 @@
     assert_eq!(order, ["running", "short", "none", "long"]);
     clients.iter_mut().for_each(|client| assert_eq!(client.answer().status(), 200));
 }
+
+/// Fleets are of unlike workers: each gets as many at once as it has shown slots.
+#[test]
+fn workers_of_unequal_size_are_filled_by_what_they_report() {
+    let rig = Rig::with(2, &settings(), None);
+    let mut clients: Vec<_> = ["a", "b"].iter().map(|id| rig.post(id, "quote", "")).collect();
+    let firsts = [rig.workers[0].take(), rig.workers[1].take()];
+    rig.news(0, &firsts[0], "done", r#","result":"a chart","load":{"x0":1.0}"#);
+    rig.news(1, &firsts[1], "done", r#","result":"a chart","load":{"x0":3.0}"#);
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().status(), 200));
+    let ids = ["c", "d", "e", "f", "g"];
+    let mut clients: Vec<_> = ids.iter().map(|id| rig.post(id, "quote", "")).collect();
+    settle(&rig);
+    let small = rig.workers[0].take();
+    let large = [rig.workers[1].take(), rig.workers[1].take(), rig.workers[1].take()];
+    assert!(rig.workers.iter().all(|w| w.has_none()), "the fifth one waits");
+    // Room at either worker is room for it.
+    rig.news(1, &large[0], "done", r#","result":"a chart""#);
+    let last = rig.workers[1].take();
+    rig.news(0, &small, "done", r#","result":"a chart""#);
+    for id in [&large[1], &large[2], &last] {
+        rig.news(1, id, "done", r#","result":"a chart""#);
+    }
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().status(), 200));
+}
+
+/// It takes the request and says nothing, not even that it has it. In doubt the job ran.
+#[test]
+fn what_may_not_run_twice_stays_with_a_worker_that_takes_it_and_is_silent() {
+    let rig = Rig::with(2, &settings(), None);
+    let mut client = rig.post("c1", "order", "X-Budget-Ms: 3000\r\n");
+    let (silent, seen) = rig.next();
+    assert_eq!(seen.reference(), "c1");
+    let status = client.answer().status();
+    assert_eq!(status, 504, "a refusal would promise that it never ran");
+    assert!(rig.workers[1 - silent].has_none());
+    drop(seen);
+}
