--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -182,6 +182,9 @@
     tells_start: bool,
 }
 
+/// Figures of a report that count jobs, by the names of the settings and of the protocol.
+const COUNTS: [&str; 4] = ["concurrent", "depth", "inflight", "queue"];
+
 fn one() -> u32 {
     1
 }
@@ -262,11 +265,7 @@
             may_shed_begun: raw.rules.may_shed_begun,
             dropped_stay_open: raw.rules.dropped_stay_open,
         },
-        counts: raw
-            .report
-            .fields
-            .as_ref()
-            .is_none_or(|f| f.iter().any(|f| f == "concurrent" || f == "depth")),
+        counts: raw.report.fields.as_ref().is_none_or(|f| f.iter().any(|f| COUNTS.contains(&f.as_str()))),
         progress: micros(raw.specifics.progress_ms),
         tells_start: raw.specifics.tells_start,
         zone: raw.zone.map(ZoneId),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,7 +37,7 @@
 const TICKS_PER_AIM: Micros = 4;
 /// A job is overdue when nothing came of it for so many usual response times, or 1.25 progress intervals.
 const OVERDUE: f64 = 2.5;
-/// The same in slacks, where it must be called back first; the second where no start is told, and a wait counts in.
+/// The same in slacks, where it must be called back first; the second where no start is told: waits count in.
 const OVERDUE_ALONE: [f64; 2] = [5.0, 8.0];
 /// A job that may be repeated, and waits longer than this part of what it can afford, gets a copy elsewhere.
 const START_PART: Micros = 6;
@@ -49,7 +49,7 @@
 const FAULTS: usize = 3;
 /// Room left at a worker for what is not known of others' jobs there, in slots.
 const DOUBT: f64 = 0.5;
-/// Held jobs wait this many slacks, over their worth, for those that come later. Guards short ones in a shortage.
+/// Held jobs wait this many slacks, over their worth, for later ones. Guards short ones in a shortage.
 const SLACKS: f64 = 4.0;
 /// What others hold at a worker follows what reports tell by this part; those are of about so long ago.
 pub const FOREIGN_PART: f64 = 0.3;
@@ -81,7 +81,7 @@
 /// Reports stay set aside for so many usual response times after the last one caught late.
 const LATE_FOR: f64 = 4.0;
 
-/// Each instance's part of the first wait before a list that failed is asked for again: calls cost discovery time.
+/// Each instance's part of the first wait before a failed list is asked for again: calls cost discovery time.
 const AGAIN_EACH: Micros = 120_000;
 
 impl JobType {
@@ -127,8 +127,8 @@
 }
 
 impl Worker {
-    /// Rules 3 and 7. Where only draining binds, lists prove little, being old, shrunken or empty: a drain once
-    /// seen binds the process whatever they say, and one left out stays until it could not be reached.
+    /// Rules 3 and 7. Where only draining binds, lists prove little, being old, shrunken or empty: a drain
+    /// once seen binds the process whatever they say, and one left out stays until it could not be reached.
     pub fn is_candidate(&self, rules: &Rules) -> bool {
         match self.entry.stage {
             Stage::Ready => !(rules.dropped_stay_open && self.drained),
@@ -137,7 +137,7 @@
         }
     }
 
-    /// The design's availability: the job's slots are free by the report, else no job as large was refused lately.
+    /// The design's availability: its slots are free by the report, else no job as large was refused lately.
     fn available(&self, slots: f64, now: Micros, late: bool) -> bool {
         // Free slots are for those that wait already; own jobs out take slots, whatever an old report says.
         let free = |free: f64| if late { self.slots } else { free - self.waiting.round() };
@@ -219,7 +219,7 @@
     /// Whether the last request of a class found none to serve it in time.
     short: Vec<bool>,
     highest: f64,
-    /// Part of the requests that a zone has room for, by waits there, and how it rises at a short one, if learnt.
+    /// Part of the requests that a zone has room for, by waits there; how it rises at a short one, if learnt.
     room: FxHashMap<ZoneId, f64>,
     rise: Option<f64>,
     blind: bool,
@@ -527,9 +527,9 @@
         jobs(self.now) - jobs(self.now.saturating_sub(span)) >= 1.0 + spent / cost
     }
 
-    /// Candidates of the next look: the first in the design's order. While own jobs of the type are fewer than
-    /// the workers, gaps say little: unless measured times are all there is to go by, candidates are then drawn
-    /// in proportion to α, the share in expectation, and not all instances meet at the same fast worker.
+    /// Candidates of the next look: the first in the design's order. While own jobs of the type are fewer
+    /// than the workers, gaps say little: unless measured times are all there is to go by, candidates are then
+    /// drawn in proportion to α, the share in expectation, and not all instances meet at the same fast worker.
     fn pick(&mut self, id: &RequestId) -> Vec<Ix> {
         let (now, late) = (self.now, self.late());
         let Some(job) = self.jobs.get(id) else { return Vec::new() };
@@ -727,7 +727,7 @@
         }
     }
 
-    /// Order of held requests: those in time first, by arrival and slack for their worth, else by what they take.
+    /// Order of held requests: those in time first, by arrival and slack for their worth, then by slack alone.
     fn rank(&self, id: &RequestId) -> (bool, u64) {
         let Some(job) = self.jobs.get(id) else { return (false, 0) };
         let (class, waited) = (job.request.class.0, self.now.saturating_sub(job.arrived));
