--- a/src/balance.rs
+++ b/src/balance.rs
@@ -528,8 +528,8 @@
     }
 
     /// Candidates of the next look: the first in the design's order. While own jobs of the type are fewer
-    /// than the workers, gaps say little: unless measured times are all there is to go by, candidates are then
-    /// drawn in proportion to α, the share in expectation, and not all instances meet at the same fast worker.
+    /// than the workers, gaps say little: unless measured times are all there is to go by, candidates are
+    /// then drawn by α, the share in expectation, and not all instances meet at the same fast worker.
     fn pick(&mut self, id: &RequestId) -> Vec<Ix> {
         let (now, late) = (self.now, self.late());
         let Some(job) = self.jobs.get(id) else { return Vec::new() };
@@ -727,7 +727,7 @@
         }
     }
 
-    /// Order of held requests: those in time first, by arrival and slack for their worth, then by slack alone.
+    /// Order of held requests: those in time first, by arrival and slack for worth, then by slack alone.
     fn rank(&self, id: &RequestId) -> (bool, u64) {
         let Some(job) = self.jobs.get(id) else { return (false, 0) };
         let (class, waited) = (job.request.class.0, self.now.saturating_sub(job.arrived));
