--- a/src/balance.rs
+++ b/src/balance.rs
@@ -727,7 +727,7 @@
         }
     }
 
-    /// Order of held requests: those in time first, by arrival and slack for worth, then by slack alone.
+    /// Order of held requests: those in time by arrival and slack over worth, then late ones by the latter.
     fn rank(&self, id: &RequestId) -> (bool, u64) {
         let Some(job) = self.jobs.get(id) else { return (false, 0) };
         let (class, waited) = (job.request.class.0, self.now.saturating_sub(job.arrived));
