--- a/control/src/watch.rs
+++ b/control/src/watch.rs
@@ -46,8 +46,9 @@
     /// has to be another one at each of them.
     pub fn new(dispatchers: u32, ask_within: Millis, seed: u64) -> Self {
         let few = dispatchers <= FEW;
-        let first = if few { 0 } else { Millis::from(dispatchers) * FIRST };
         let most = if few { 0 } else { ask_within * 7 / 10 };
+        // One that has not called yet counts as told like one that no longer calls, however large the tier.
+        let first = if few { 0 } else { (Millis::from(dispatchers) * FIRST).min(ask_within * 19 / 20) };
         let rng = StdRng::seed_from_u64(seed);
         WatchPace { dispatchers, first, took: LEAST * AT_DISCOVERY, most, put_off: true, rng }
     }
@@ -102,6 +103,13 @@
         self.rng.random_range(gap / 2..=gap * 3 / 2).min(longest)
     }
 
+    /// A watch brought no answer by the end of its wait and some more: it fell silent. What it missed counts as told
+    /// soon, whatever the size of the tier, so the list is asked for at once. Those watches began at many times, and so
+    /// end at many; and one such call in a row is all: how that one fails shows whether discovery can't keep up.
+    pub fn silent(&mut self) {
+        self.put_off = true;
+    }
+
     /// A call failed after `took`: discovery refused it, or was silent.
     pub fn failed(&mut self, took: Millis) {
         self.put_off = true;
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -182,6 +182,12 @@
                 Err(e) => {
                     warn!(discovery = %at, error = %e, took_ms, "discovery: no list came");
                     after = after.filter(|_| !matches!(e, NoList::Unreadable(_)));
+                    // The next call does not wait: its silence is a failure like any other.
+                    if !wait.is_zero() && matches!(e, NoList::Call(CallError::Timeout)) {
+                        pace.silent();
+                        wait = Duration::ZERO;
+                        continue;
+                    }
                 }
             }
             pace.failed(asked.elapsed().as_millis() as u64);
--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -3,13 +3,17 @@
 
 use super::seats::{Cut, Seat, Stage};
 use lineroute_http1::Screen;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::future::pending;
+use std::io::{self, ErrorKind};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest, ReadBuf};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 
 /// The longest head. The server itself would take 128 KiB from each connection.
@@ -24,7 +28,9 @@
 /// A connection, shared by the server and the task that ends it.
 #[derive(Clone)]
 pub struct Guarded {
-    stream: Rc<RefCell<TcpStream>>,
+    input: Rc<RefCell<OwnedReadHalf>>,
+    /// Never borrowed to be changed: it is written to, and watched for the other side's end, at the same time.
+    output: Rc<OwnedWriteHalf>,
     pub seat: Rc<Seat>,
     /// Bytes of the head so far, and of this go.
     head: Rc<Cell<usize>>,
@@ -37,8 +43,10 @@
     /// `screened`: requests on it may pass to plain HTTP workers.
     pub fn new(stream: TcpStream, seat: Rc<Seat>, screened: bool) -> Self {
         let screen = screened.then(Rc::default);
+        let (input, output) = stream.into_split();
         Guarded {
-            stream: Rc::new(RefCell::new(stream)),
+            input: Rc::new(RefCell::new(input)),
+            output: Rc::new(output),
             seat,
             head: Rc::default(),
             go: Rc::default(),
@@ -46,13 +54,22 @@
         }
     }
 
-    fn poll<R>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> R) -> R {
-        act(Pin::new(&mut *self.stream.borrow_mut()))
+    fn stream(&self) -> &TcpStream {
+        (*self.output).as_ref()
     }
 
     /// Says the last words of one that was never answered, as far as they go out at once.
     pub fn say(&self, words: &[u8]) {
-        let _ = self.stream.borrow_mut().try_write(words);
+        let _ = self.stream().try_write(words);
+    }
+
+    /// Sees the other side end the connection or break it off, at once and whatever lies unread before its end: what a
+    /// read would find only behind that. Its seat is told. Never ends. Dropped, it holds nothing.
+    pub async fn watch(&self) {
+        // Nothing urgent is asked for on this socket; so this is the end alone.
+        let _ = self.stream().ready(Interest::PRIORITY).await;
+        self.seat.leave();
+        pending().await
     }
 
     /// Ends the connection. Closed with bytes unread, it would be reset, and what was said last be lost.
@@ -80,8 +97,9 @@
             // What comes behind a request in hand waits in the kernel. Only the end is looked out for.
             let mut byte = [0];
             let mut byte = ReadBuf::new(&mut byte);
-            match ready!(self.poll(|s| s.poll_peek(cx, &mut byte))) {
-                Ok(0) | Err(_) => seat.cut(Cut::Away),
+            match ready!(self.stream().poll_peek(cx, &mut byte)) {
+                Ok(0) | Err(_) => seat.leave(),
+                // The end behind these is `watch`'s to see.
                 Ok(_) => seat.park(cx.waker()),
             }
             return Poll::Pending;
@@ -97,12 +115,17 @@
             return Poll::Pending;
         }
         let before = buf.filled().len();
-        let read = self.poll(|s| s.poll_read(cx, buf));
+        let read = Pin::new(&mut *self.input.borrow_mut()).poll_read(cx, buf);
         if read.is_pending() {
             self.go.set(0);
         }
-        ready!(read)?;
+        let read = ready!(read);
         let count = buf.filled().len() - before;
+        // The server goes on with what came before: its client has gone all the same.
+        if read.is_err() || (count == 0 && buf.remaining() > 0) {
+            seat.leave();
+        }
+        read?;
         if let Some(screen) = &self.screen {
             if screen.borrow_mut().feed(&buf.filled()[before..]).is_err() {
                 // Not a byte of it reaches the parser behind.
@@ -123,14 +146,20 @@
 
 impl AsyncWrite for Guarded {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll(|s| s.poll_write(cx, buf))
+        loop {
+            ready!(self.stream().poll_write_ready(cx))?;
+            match self.stream().try_write(buf) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.poll(|s| s.poll_flush(cx))
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.poll(|s| s.poll_shutdown(cx))
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(self.stream()).shutdown(Shutdown::Write))
     }
 }
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -175,8 +175,12 @@
             let service = service.clone();
             actix_rt::spawn(async move {
                 let guarded = Guarded::new(stream, taken.seat.clone(), screened);
+                // In this order: a request that is read in the moment of its client's end must not be taken. Whoever
+                // is dropped here holds nothing but a flow's claim, which tells the core.
                 let cut = tokio::select! {
+                    biased;
                     cut = taken.seat.until_cut() => Some(cut),
+                    () = guarded.watch() => None,
                     // Errors here are those of the peer: it went, or what it sent was no HTTP.
                     _ = service.call((guarded.clone(), Some(peer))) => None,
                 };
@@ -256,7 +260,7 @@
             Ok(body) => Body::Whole(body),
             Err(status) => return plain(status, "no body could be read\n"),
         };
-        if self.phase.shut.get() {
+        if self.phase.shut.get() || gone(seat) {
             return refused(BUSY_RETRY);
         }
         let budget = budget.saturating_sub(arriving.elapsed());
@@ -336,6 +340,17 @@
     }
 }
 
+/// Whether the client went while its request was read: nothing of it is sent on, and nobody reads an answer.
+pub(super) fn gone(seat: Option<&Seat>) -> bool {
+    seat.is_some_and(|seat| {
+        let gone = seat.has_left();
+        if gone {
+            seat.cut(Cut::Away);
+        }
+        gone
+    })
+}
+
 /// Whether the answer's body is still to come: its end frees the seat then.
 fn passes(response: &Response<BoxBody>) -> bool {
     response.extensions().contains::<Passes>()
--- a/dispatcher/src/listeners/pass.rs
+++ b/dispatcher/src/listeners/pass.rs
@@ -1,6 +1,6 @@
 //! Requests that pass to plain HTTP workers as they are: any method and path, bodies as they come.
 
-use super::http::{plain, refused, HttpListener, Passes, BUSY_RETRY};
+use super::http::{gone, plain, refused, HttpListener, Passes, BUSY_RETRY};
 use super::seats::{Seat, Stage};
 use crate::body::{Body, Ended, Reader, Upload, Writer};
 use crate::config::{PassingRoute, Route};
@@ -103,6 +103,9 @@
                 Err(status) => return text(status, "no body could be read\n"),
             }
         }
+        if gone(seat.as_deref()) {
+            return refused(BUSY_RETRY).map_into_boxed_body();
+        }
         let method = head.method.clone();
         let client = request.peer_addr().map(|p| p.ip());
         let answer = RefCell::new(Some(answer));
--- a/dispatcher/src/listeners/seats.rs
+++ b/dispatcher/src/listeners/seats.rs
@@ -56,6 +56,8 @@
     worker: Cell<bool>,
     /// An answer was given on it.
     answered: Cell<bool>,
+    /// The other side has ended the connection, or it broke.
+    left: Cell<bool>,
     cut: Cell<Option<Cut>>,
     changed: Notify,
     /// Who waits to read on until the request in hand is answered.
@@ -103,6 +105,20 @@
         self.since.get() + WHOLE_WITHIN
     }
 
+    /// The other side has ended the connection, or it broke. A request that is in hand is nobody's from here on; one
+    /// that is still coming is judged when it is whole (`has_left`).
+    pub fn leave(&self) {
+        self.left.set(true);
+        if matches!(self.stage.get(), Stage::InWork | Stage::Streaming) {
+            self.cut(Cut::Away);
+        }
+    }
+
+    /// Whether whoever sent the request has gone: then it must not be taken.
+    pub fn has_left(&self) -> bool {
+        self.left.get()
+    }
+
     pub fn cut(&self, cut: Cut) {
         self.cut.set(Some(self.cut.get().unwrap_or(cut)));
         self.changed.notify_one();
@@ -173,6 +189,7 @@
             since: Cell::new(now),
             worker: Cell::new(false),
             answered: Cell::new(false),
+            left: Cell::new(false),
             cut: Cell::new(None),
             changed: Notify::new(),
             reader: Cell::new(None),
--- /dev/null
+++ b/dispatcher/src/targets/gate.rs
@@ -0,0 +1,188 @@
+//! The last look before a request's first byte. The client library finds a connection, or waits for one, and then
+//! writes: guards against what happens in between, and tells what was written when a call comes to no answer.
+
+use super::http::CallError;
+use actix_rt::net::{ActixStream, Ready};
+use actix_service::{fn_service, Service};
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector};
+use awc::http::Uri;
+use socket2::SockRef;
+use std::cell::Cell;
+use std::future::Future;
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::timeout_at;
+
+tokio::task_local! {
+    /// The gate of the call that is being polled. One call has one connection, which asks here before its first byte.
+    static GATE: Rc<Gate>;
+}
+
+/// What has become of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum At {
+    /// Not a byte of it is written.
+    #[default]
+    Waiting,
+    /// The look said no: nothing is written, and nothing will be.
+    Shut,
+    /// The other side has closed the kept connection: nothing was written.
+    Stale,
+    Open(Instant),
+    /// The connection broke before the last byte was written.
+    Unsent,
+}
+
+/// What one request has to pass.
+#[derive(Default)]
+pub struct Gate {
+    look: Option<Box<dyn Fn() -> bool>>,
+    at: Cell<At>,
+}
+
+impl Gate {
+    /// `look` is called once there is a connection that takes bytes, right before the first one goes out.
+    pub fn new(look: impl Fn() -> bool + 'static) -> Rc<Gate> {
+        Rc::new(Gate { look: Some(Box::new(look)), at: Cell::default() })
+    }
+
+    /// Whether a byte may have gone out.
+    pub fn is_open(&self) -> bool {
+        matches!(self.at.get(), At::Open(_) | At::Unsent)
+    }
+
+    /// Nothing was written: the call may be made anew.
+    pub fn again(&self) {
+        if self.at.get() == At::Stale {
+            self.at.set(At::Waiting);
+        }
+    }
+
+    fn pass(&self, stream: &TcpStream) -> io::Result<()> {
+        if self.at.get() != At::Waiting {
+            return Ok(());
+        }
+        // Nothing is awaited from here to the write.
+        let at = match has_ended(stream) {
+            true => At::Stale,
+            false if self.look.as_ref().is_none_or(|look| look()) => At::Open(Instant::now()),
+            false => At::Shut,
+        };
+        self.at.set(at);
+        match at {
+            At::Open(_) => Ok(()),
+            _ => Err(ErrorKind::NotConnected.into()),
+        }
+    }
+
+    /// Makes a call through this gate. It may take `within` from its first byte; before that the connector's own limit
+    /// holds, and `left` in all.
+    pub async fn call<T>(
+        self: Rc<Self>,
+        call: impl Future<Output = Result<T, CallError>>,
+        within: Duration,
+        left: Duration,
+    ) -> Result<T, CallError> {
+        let start = Instant::now();
+        let mut call = pin!(GATE.scope(self.clone(), call));
+        let mut until = start + within.min(left);
+        let answer = loop {
+            // The call is kept over the loop: nothing of it is lost.
+            match timeout_at(until.into(), call.as_mut()).await {
+                Ok(answer) => break answer,
+                Err(_) => {
+                    let longest = match self.at.get() {
+                        At::Open(at) => at + within,
+                        _ => Instant::now() + within,
+                    };
+                    match longest.min(start + left) {
+                        later if later > until => until = later,
+                        _ => break Err(CallError::Timeout),
+                    }
+                }
+            }
+        };
+        match (self.at.get(), answer) {
+            (_, Ok(answer)) => Ok(answer),
+            (At::Shut, _) => Err(CallError::Shut),
+            (At::Stale, _) => Err(CallError::Stale),
+            (At::Unsent, _) => Err(CallError::Unsent),
+            (At::Waiting, Err(CallError::Timeout)) => {
+                Err(CallError::NoConnection("it did not come up in time".into()))
+            }
+            (_, Err(e)) => Err(e),
+        }
+    }
+}
+
+/// Whether the other side has ended the connection, as the kernel knows by now: what the event loop has been told may
+/// be older. Words that nobody asked for make it useless as well.
+fn has_ended(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    !matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+/// A connection that asks the gate.
+#[derive(Debug)]
+pub struct Gated(TcpStream);
+
+/// Opens connections that ask the gate.
+pub fn connector(
+) -> impl Service<ConnectInfo<Uri>, Response = Connection<Uri, Gated>, Error = ConnectError> + Clone {
+    let plain = Connector::default().service();
+    fn_service(move |info: ConnectInfo<Uri>| {
+        let opened = plain.call(info);
+        async move {
+            let (stream, uri) = opened.await?.into_parts();
+            Ok(Connection::new(uri, Gated(stream)))
+        }
+    })
+}
+
+impl AsyncRead for Gated {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Gated {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        // What is said outside of any call passes: the end of a connection.
+        let Ok(gate) = GATE.try_with(Rc::clone) else { return Pin::new(&mut self.0).poll_write(cx, buf) };
+        ready!(self.0.poll_write_ready(cx))?;
+        gate.pass(&self.0)?;
+        let written = ready!(Pin::new(&mut self.0).poll_write(cx, buf));
+        if written.is_err() {
+            gate.at.set(At::Unsent);
+        }
+        Poll::Ready(written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for Gated {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, cx)
+    }
+}
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -1,6 +1,7 @@
 //! Workers that speak the platform's HTTP: a job is posted, taken with 202, and its fate comes as calls to
 //! the dispatcher's own address (`HttpTargets::news`). After the 202 a forward lives without a connection.
 
+use super::gate::{self, Gate};
 use super::load::{self, LOAD_HEADER};
 use super::look::look;
 use crate::facade::{Load, Outcome, TargetId};
@@ -48,6 +49,12 @@
     NoConnection(String),
     /// Too many calls are out: nothing was sent, and it says nothing of the other side.
     Busy,
+    /// It must no longer be sent: nothing was.
+    Shut,
+    /// The other side had closed the kept connection: nothing was sent.
+    Stale,
+    /// The connection broke before the last byte was written: nobody runs half a request.
+    Unsent,
     /// No answer in time.
     Timeout,
     /// It broke, or what came was no answer: the request may have arrived.
@@ -60,6 +67,9 @@
             CallError::Refused => write!(f, "connection refused"),
             CallError::NoConnection(e) => write!(f, "no connection: {e}"),
             CallError::Busy => write!(f, "too many calls are out"),
+            CallError::Shut => write!(f, "not to be sent any longer"),
+            CallError::Stale => write!(f, "the kept connection was closed"),
+            CallError::Unsent => write!(f, "broken before it was sent"),
             CallError::Timeout => write!(f, "no answer in time"),
             CallError::Broken(e) => write!(f, "broken: {e}"),
         }
@@ -114,6 +124,7 @@
     /// make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
     fn connect(&self, keep: Duration) -> awc::Client {
         let connector = awc::Connector::new()
+            .connector(gate::connector())
             .timeout(self.connect_within)
             .handshake_timeout(self.connect_within)
             .conn_keep_alive(keep)
@@ -217,32 +228,76 @@
         limit: usize,
     ) -> Result<HttpAnswer, CallError> {
         let Some(_call) = self.begin(&method) else { return Err(CallError::Busy) };
+        let exchange = self.exchange(method, addr, path, headers, body, limit);
+        let answer = tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout));
+        self.judge(addr, answer)
+    }
+
+    /// The same through a gate, which is looked at right before the first byte; from that on it may take `within`, and
+    /// `left` in all.
+    #[allow(clippy::too_many_arguments)]
+    async fn post(
+        &self,
+        gate: &Rc<Gate>,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        (within, left): (Duration, Duration),
+        limit: usize,
+    ) -> Result<HttpAnswer, CallError> {
+        let Some(_call) = self.begin(&Method::POST) else { return Err(CallError::Busy) };
+        let until = Instant::now() + left;
+        loop {
+            let exchange = self.exchange(Method::POST, addr, path, headers, body.clone(), limit);
+            let left = until.saturating_duration_since(Instant::now());
+            match gate.clone().call(exchange, within, left).await {
+                // The pool has one connection less, and the request has not left: the next one is tried.
+                Err(CallError::Stale) => gate.again(),
+                answer => return self.judge(addr, answer),
+            }
+        }
+    }
+
+    fn judge(
+        &self,
+        addr: SocketAddr,
+        answer: Result<HttpAnswer, CallError>,
+    ) -> Result<HttpAnswer, CallError> {
+        if let Err(CallError::Broken(_) | CallError::Unsent) = answer {
+            self.pools.borrow_mut().broke(addr);
+        }
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        limit: usize,
+    ) -> Result<HttpAnswer, CallError> {
         let has_body = method == Method::POST;
         let client = self.pools.borrow_mut().client(addr);
         let mut request = client.request(method, format!("http://{addr}{path}")).no_decompress();
         for &(name, value) in headers {
             request = request.insert_header((name, value));
         }
-        let exchange = async {
-            let mut response = if has_body { request.send_body(body).await? } else { request.send().await? };
-            let rejected = response.headers().get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
-            let load = response.headers().get(LOAD_HEADER).and_then(|v| load::from_line(v.to_str().ok()?));
-            let mut body = BytesMut::new();
-            // Read to its end, also where nobody wants it: only then is the connection free again.
-            while let Some(chunk) = response.next().await {
-                let chunk = chunk.map_err(|e| CallError::Broken(e.to_string()))?;
-                if body.len() + chunk.len() > limit {
-                    return Err(CallError::Broken("the answer is too long".into()));
-                }
-                body.extend_from_slice(&chunk);
+        let mut response = if has_body { request.send_body(body).await? } else { request.send().await? };
+        let rejected = response.headers().get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
+        let load = response.headers().get(LOAD_HEADER).and_then(|v| load::from_line(v.to_str().ok()?));
+        let mut body = BytesMut::new();
+        // Read to its end, also where nobody wants it: only then is the connection free again.
+        while let Some(chunk) = response.next().await {
+            let chunk = chunk.map_err(|e| CallError::Broken(e.to_string()))?;
+            if body.len() + chunk.len() > limit {
+                return Err(CallError::Broken("the answer is too long".into()));
             }
-            Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.freeze() })
-        };
-        let answer = tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout));
-        if let Err(CallError::Broken(_)) = answer {
-            self.pools.borrow_mut().broke(addr);
+            body.extend_from_slice(&chunk);
         }
-        answer
+        Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.freeze() })
     }
 }
 
@@ -271,6 +326,7 @@
     ticket: Ticket,
     worker: Rc<str>,
     task: Option<JoinHandle<()>>,
+    gate: Rc<Gate>,
     /// The worker has told of the job.
     told: bool,
 }
@@ -384,9 +440,7 @@
                     break
                 }
                 // Broken: it may have been an idle connection that the worker had closed.
-                Err(
-                    CallError::NoConnection(_) | CallError::Refused | CallError::Broken(_) | CallError::Busy,
-                ) => {}
+                Err(_) => {}
             }
             if Instant::now() >= forward.until {
                 break;
@@ -395,13 +449,27 @@
         }
     }
 
-    async fn post(&self, forward: &Forward) {
+    /// What is asked right before a forward's first byte: whether the list still says of the worker what it said, the
+    /// forward is still wanted, and somebody still waits.
+    fn gate(&self, forward: &Forward) -> Rc<Gate> {
+        let (flows, forward) = (self.flows.clone(), forward.clone());
+        Gate::new(move || {
+            let sent =
+                flows.stands(&forward) && flows.is_out(forward.ticket) && Instant::now() < forward.until;
+            if sent {
+                debug!(flow = forward.ticket.flow.0, forward = forward.ticket.number, target = %forward.name,
+                    "forward sent");
+            }
+            sent
+        })
+    }
+
+    async fn post(&self, forward: &Forward, gate: &Rc<Gate>) {
         let job = &forward.job;
         if !self.flows.stands(forward) {
-            // The worker began to drain between the decision and this moment: nothing is sent.
+            // The worker began to drain between the decision and this moment: no connection is opened for it.
             return self.end(&job.reference, forward.ticket, Outcome::Moot, None, None);
         }
-        debug!(flow = forward.ticket.flow.0, forward = forward.ticket.number, target = %forward.name, "forward sent");
         let left = forward.until.saturating_duration_since(Instant::now());
         let budget = left.as_millis().to_string();
         let mut headers = vec![
@@ -412,18 +480,17 @@
         if let Some(key) = &job.idempotency {
             headers.push(("Idempotency-Key", key));
         }
-        let (addr, body, within) = (forward.addr, job.body.whole(), left.min(TAKEN_WITHIN));
-        let answer =
-            self.client.call(Method::POST, addr, &job.path, &headers, body, within, MAX_ANSWER).await;
+        let (addr, body, within) = (forward.addr, job.body.whole(), (TAKEN_WITHIN, left));
+        let answer = self.client.post(gate, addr, &job.path, &headers, body, within, MAX_ANSWER).await;
         let load = answer.as_ref().ok().and_then(|answer| answer.load);
         let outcome = match answer {
             Ok(HttpAnswer { status: 202, .. }) => return,
             Ok(HttpAnswer { status: 503 | 504, rejected: true, .. }) => Outcome::NoRoom,
             Ok(_) => Outcome::Fault,
-            Err(CallError::Refused | CallError::NoConnection(_)) => Outcome::NoRoute,
+            Err(CallError::Refused | CallError::NoConnection(_) | CallError::Unsent) => Outcome::NoRoute,
             Err(CallError::Broken(_)) => Outcome::Cut,
-            Err(CallError::Busy) => Outcome::Moot,
-            Err(CallError::Timeout) if within == left => Outcome::TimedOut,
+            Err(CallError::Busy | CallError::Shut | CallError::Stale) => Outcome::Moot,
+            Err(CallError::Timeout) if Instant::now() >= forward.until => Outcome::TimedOut,
             // The connection has fallen silent. The worker may have the job: if it says so, all is well, else
             // it is told that the job is given up, and only then the next attempt may go out.
             Err(CallError::Timeout) if self.is_told(forward) => return,
@@ -438,17 +505,18 @@
 
 impl Target for HttpTargets {
     fn forward(&self, forward: Forward) {
-        let (this, copy) = (self.clone(), forward.clone());
-        let task = actix_rt::spawn(async move { this.post(&copy).await });
-        let out = Out { ticket: forward.ticket, worker: forward.name, task: Some(task), told: false };
+        let (this, copy, gate) = (self.clone(), forward.clone(), self.gate(&forward));
+        let own = gate.clone();
+        let task = actix_rt::spawn(async move { this.post(&copy, &own).await });
+        let out = Out { ticket: forward.ticket, worker: forward.name, task: Some(task), gate, told: false };
         self.out.borrow_mut().insert(forward.job.reference.clone(), out);
     }
 
     fn cancel(&self, forward: Forward) {
-        let task = {
+        let (task, gate) = {
             let mut out = self.out.borrow_mut();
             let own = out.get_mut(&forward.job.reference).filter(|o| o.ticket == forward.ticket);
-            own.and_then(|o| o.task.take())
+            own.map_or((None, None), |o| (o.task.take(), Some(o.gate.clone())))
         };
         let this = self.clone();
         actix_rt::spawn(async move {
@@ -460,6 +528,10 @@
                 task.abort();
                 let _ = task.await;
                 closed = posting.then(Instant::now);
+                if posting && gate.is_some_and(|gate| !gate.is_open()) {
+                    // Not a byte of it went out, and none will: there is nobody to tell, and it surely never ran.
+                    return this.end(&forward.job.reference, forward.ticket, Outcome::Moot, None, None);
+                }
             }
             this.call_back(&forward, closed).await;
             this.end(&forward.job.reference, forward.ticket, Outcome::Cancelled, None, None);
@@ -483,8 +555,8 @@
                 Ok((503, _)) => Outcome::NoRoom,
                 Ok(_) => Outcome::Fault,
                 Err(CallError::Refused | CallError::NoConnection(_)) => Outcome::NoRoute,
-                Err(CallError::Broken(_)) => Outcome::Cut,
                 Err(CallError::Timeout | CallError::Busy) => Outcome::TimedOut,
+                Err(_) => Outcome::Cut,
             };
             if outcome != Outcome::Served {
                 debug!(target = %addr, outcome = ?outcome, "a probe failed");
--- a/dispatcher/src/targets/mod.rs
+++ b/dispatcher/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! The workers' side, a module for each protocol that workers speak.
 
 pub mod beanstalkd;
+mod gate;
 pub mod http;
 pub mod load;
 mod look;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -81,8 +81,8 @@
 /// Reports stay set aside for so many usual response times after the last one caught late.
 const LATE_FOR: f64 = 4.0;
 
-/// Each instance's part of the first wait before a failed list is asked for again: calls cost discovery time.
-const AGAIN_EACH: Micros = 120_000;
+/// The wait after a failed list: for each instance, and at most, in times for asking (told after four).
+const AGAIN: (Micros, Micros) = (120_000, 3);
 
 impl JobType {
     /// n_i − α_i·n and −α_i: the design's order is from the smallest up.
@@ -264,7 +264,7 @@
 }
 
 fn first_wait(settings: &Settings) -> Micros {
-    Micros::from(settings.instances.max(1)) * AGAIN_EACH
+    (Micros::from(settings.instances.max(1)) * AGAIN.0).min(settings.rules.ask_within * AGAIN.1)
 }
 
 /// Concern 3, the request life cycle, and the whole. A send is decided by `settle`, and passes `may_send`.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -112,6 +112,34 @@
     assert!(calls < 420, "{calls} calls");
 }
 
+/// Seen with 321 dispatchers: some made their first call 38 s after their start, 10 s after which they counted as told,
+/// and sent to workers that had left. The size of a tier stretches no time that a rule ends.
+#[test]
+fn a_dispatcher_asks_before_it_counts_as_told_whatever_the_size_of_its_tier() {
+    for (dispatchers, ask_within) in [(9, 10_000), (100, 10_000), (300, 10_000), (321, 2_000), (1000, 10_000)]
+    {
+        for seed in 0..200 {
+            let mut pace = WatchPace::new(dispatchers, ask_within, seed);
+            let first = pace.first();
+            assert!(first < ask_within, "{dispatchers} dispatchers: first call after {first} ms");
+            pace.answered(true, 10);
+            let gap = pace.answered(true, 2000);
+            assert!(gap < ask_within, "{dispatchers} dispatchers: next call after {gap} ms");
+            // Again after a failure, which counts as told after four times that.
+            let mut s =
+                Settings { instances: dispatchers, discovery: lineroute::Discovery::Ask, ..settings() };
+            s.rules.ask_within = ask_within * MS;
+            let mut host = Host::new(s, seed);
+            host.event(SECOND, Event::ListFailed);
+            let mut at = SECOND;
+            while !host.advance(at).iter().any(|a| matches!(a, Action::Subscribe)) {
+                at += 50 * MS;
+            }
+            assert!(at < SECOND + 4 * ask_within * MS, "{dispatchers} dispatchers: again at {at} us");
+        }
+    }
+}
+
 /// What guards a large tier does not slow down a small one.
 #[test]
 fn a_small_tier_hears_of_changes_at_once() {
