--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -58,6 +59,14 @@
         (*self.output).as_ref()
     }
 
+    /// Whether the next thing to read is the end.
+    fn has_ended(&self) -> bool {
+        match SockRef::from(self.stream()).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(count) => count == 0,
+            Err(e) => e.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
     /// Says the last words of one that was never answered, as far as they go out at once.
     pub fn say(&self, words: &[u8]) {
         let _ = self.stream().try_write(words);
@@ -121,8 +130,9 @@
         }
         let read = ready!(read);
         let count = buf.filled().len() - before;
-        // The server goes on with what came before: its client has gone all the same.
-        if read.is_err() || (count == 0 && buf.remaining() > 0) {
+        // The server goes on with what came before its client's end; the kernel knows of that end before the event
+        // loop tells, and nothing has been placed for this request so far.
+        if read.is_err() || (buf.remaining() > 0 && self.has_ended()) {
             seat.leave();
         }
         read?;
--- a/dispatcher/src/targets/gate.rs
+++ b/dispatcher/src/targets/gate.rs
@@ -2,6 +2,7 @@
 //! writes: guards against what happens in between, and tells what was written when a call comes to no answer.
 
 use super::http::CallError;
+use crate::stops;
 use actix_rt::net::{ActixStream, Ready};
 use actix_service::{fn_service, Service};
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector};
@@ -69,6 +70,7 @@
             return Ok(());
         }
         // Nothing is awaited from here to the write.
+        stops::at("post.look");
         let at = match has_ended(stream) {
             true => At::Stale,
             false if self.look.as_ref().is_none_or(|look| look()) => At::Open(Instant::now()),
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -184,6 +184,8 @@
     pub kind: Option<&'static str>,
     /// A listening socket that the program inherits as descriptor 3, named in `GW_FD`.
     pub inherit: Option<TcpListener>,
+    /// Points at which the program stops, as `LINEROUTE_TEST_STOPS` names them.
+    pub stops: &'a str,
 }
 
 pub fn folder() -> PathBuf {
@@ -268,7 +270,7 @@
     }
 
     pub fn set_up(listed: Vec<(String, SocketAddr)>, settings: &str, setup: Setup) -> Rig {
-        let Setup { operator, more, args, kind, inherit } = setup;
+        let Setup { operator, more, args, kind, inherit, stops } = setup;
         let kind = kind.unwrap_or("m");
         let list: Listing = Arc::new((Mutex::new((1, String::new(), 0, false)), Condvar::new()));
         let discovery = discovery(list.clone());
@@ -281,6 +283,7 @@
         std::fs::write(dir.join("config.json"), config).expect("a file");
         let mut command = program();
         command.env("GW_CONFIG", dir.join("config.json")).env("GW_DISCOVERY", discovery.to_string());
+        command.env("LINEROUTE_TEST_STOPS", stops);
         if let Some(operator) = operator {
             std::fs::write(dir.join("operator.json"), operator).expect("a file");
             command.arg("--operator").arg(dir.join("operator.json"));
@@ -312,7 +315,9 @@
             }
         };
         let (sender, log) = channel();
-        thread::spawn(move || lines.map_while(Result::ok).all(|line| sender.send(line).is_ok()));
+        thread::spawn(move || {
+            lines.map_while(Result::ok).inspect(|l| eprintln!("{l}")).all(|line| sender.send(line).is_ok())
+        });
         Rig { child, addr, workers: Vec::new(), listed, kind, list, dir, log, front, admin, peer }
     }
 
@@ -369,6 +374,12 @@
     pub fn served(&self, reference: &str, class: &str) -> usize {
         let mut client = self.post(reference, class, "");
         let (worker, seen) = self.next();
+        assert_eq!(
+            seen.message.headers.get("x-call-id").map(String::as_str),
+            Some(reference),
+            "{:?}",
+            seen.message
+        );
         seen.answer("202 Accepted");
         self.news(worker, reference, "done", r#","result":"a chart""#);
         assert_eq!(client.answer().status(), 200);
@@ -401,6 +412,32 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
     }
 
+    /// Stops the program where it stands; what comes meanwhile, it finds all at once.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        self.is_frozen();
+    }
+
+    /// Waits until it stands still.
+    pub fn is_frozen(&self) {
+        let stat = format!("/proc/{}/stat", self.child.id());
+        wait_until("it stands still", || {
+            std::fs::read_to_string(&stat)
+                .is_ok_and(|s| s.rsplit(") ").next().is_some_and(|s| s.starts_with('T')))
+        });
+    }
+
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Has the program take a turn: whatever had come to it before is heeded when this returns.
+    pub fn turn(&self) {
+        let mut client = self.connect();
+        client.send("GET /up", "", "");
+        client.answer();
+    }
+
     /// Replaces the configuration by this text, and says so; what the program says.
     pub fn reload(&self, config: &str) -> String {
         std::fs::write(self.dir.join("config.json"), config).expect("a file");
@@ -478,6 +515,61 @@
     )
 }
 
+/// Waits for what must come.
+pub fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !is_so() {
+        assert!(Instant::now() < until, "in vain: {what}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// An address where connections don't come up until they are let in.
+pub struct Closed {
+    socket: socket2::Socket,
+    pub addr: SocketAddr,
+    fillers: Vec<TcpStream>,
+}
+
+impl Closed {
+    /// Its queue of connections is short, and full: further ones are not answered.
+    pub fn start() -> Closed {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        socket.bind(&any.into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let addr = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
+        let mut fillers = Vec::new();
+        while let Ok(filler) = TcpStream::connect_timeout(&addr, Duration::from_millis(200)) {
+            fillers.push(filler);
+        }
+        Closed { socket, addr, fillers }
+    }
+
+    /// How many connections wait to come up.
+    pub fn coming(&self) -> usize {
+        let port = format!(":{:04X} 02 ", self.addr.port());
+        std::fs::read_to_string("/proc/net/tcp")
+            .expect("a table")
+            .lines()
+            .filter(|l| l.contains(&port))
+            .count()
+    }
+
+    /// Lets the next one in, behind those that filled the queue.
+    pub fn let_in(&mut self) -> TcpStream {
+        for filler in self.fillers.drain(..) {
+            drop(self.socket.accept().expect("a filler"));
+            drop(filler);
+        }
+        let (stream, _) = self.socket.accept().expect("a connection");
+        let stream = TcpStream::from(stream);
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream
+    }
+}
+
 /// One connection of a client.
 pub struct Client {
     reader: BufReader<TcpStream>,
@@ -505,6 +597,16 @@
         self.send("POST /api", &headers, "payload");
     }
 
+    /// Says the end of what it sends, and goes on reading.
+    pub fn half_close(&self) {
+        self.stream.shutdown(std::net::Shutdown::Write).expect("a connection");
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+
     pub fn write(&mut self, bytes: &[u8]) {
         let _ = self.stream.write_all(bytes);
     }
