--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -59,14 +59,24 @@
         (*self.output).as_ref()
     }
 
+    /// What the kernel has to read by now, as far as one byte goes.
+    fn peek(&self) -> io::Result<usize> {
+        SockRef::from(self.stream()).peek(&mut [MaybeUninit::uninit()])
+    }
+
     /// Whether the next thing to read is the end.
     fn has_ended(&self) -> bool {
-        match SockRef::from(self.stream()).peek(&mut [MaybeUninit::uninit()]) {
+        match self.peek() {
             Ok(count) => count == 0,
             Err(e) => e.kind() != ErrorKind::WouldBlock,
         }
     }
 
+    /// Whether it is between two requests, and not a byte of the next one has come. Whoever ends it then takes nothing.
+    pub fn is_at_rest(&self) -> bool {
+        self.seat.rests() && self.peek().is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Says the last words of one that was never answered, as far as they go out at once.
     pub fn say(&self, words: &[u8]) {
         let _ = self.stream().try_write(words);
@@ -81,6 +91,14 @@
         pending().await
     }
 
+    /// Ends a connection on which nothing is owed. What crosses this end is left unread: its client can tell that it was
+    /// not taken, and sends it elsewhere.
+    pub async fn close(self) {
+        self.seat.set(Stage::Ending);
+        let _ = SockRef::from(self.stream()).shutdown(Shutdown::Write);
+        let _ = tokio::time::timeout(LINGER, self.stream().ready(Interest::PRIORITY)).await;
+    }
+
     /// Ends the connection. Closed with bytes unread, it would be reset, and what was said last be lost.
     pub async fn end(mut self) {
         self.seat.set(Stage::Ending);
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -7,6 +7,7 @@
 use crate::config::Route;
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener, NotTaken};
+use crate::stops;
 use crate::targets::http::{HttpTargets, JobNews};
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderMap};
@@ -16,11 +17,13 @@
 use actix_service::{IntoServiceFactory, Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tracing::warn;
 
@@ -67,6 +70,8 @@
     /// New jobs are refused.
     shut: Cell<bool>,
     idle: Notify,
+    /// Nobody is let in.
+    over: Notify,
 }
 
 impl Phase {
@@ -75,23 +80,32 @@
         self.closing.set(true);
     }
 
-    /// From here on nothing new is taken, and idle connections end.
+    /// From here on nothing new is taken, and connections at rest end.
     pub fn shut(&self) {
         self.shut.set(true);
         self.idle.notify_waiters();
     }
 
+    /// Nothing is owed any more, and no calls are to come: the listening socket closes.
+    pub fn end(&self) {
+        self.over.notify_one();
+    }
+
     pub(super) fn is_shut(&self) -> bool {
         self.shut.get()
     }
 
-    /// For one connection, from its start. One that comes later is not ended so: workers still have calls to
-    /// make of the flows that are being finished.
-    async fn until_shut(self: Rc<Self>) {
-        match self.shut.get() {
-            true => std::future::pending().await,
-            false => self.idle.notified().await,
+    /// For one connection, from its start: resolves when it ends for the stop, at rest. One that has begun a request is
+    /// answered, and its answer ends it. One that comes later is not ended so: workers still have calls to make of the
+    /// flows that are being finished.
+    async fn until_ended(&self, guarded: &Guarded) {
+        if !self.shut.get() {
+            self.idle.notified().await;
+            if guarded.is_at_rest() {
+                return;
+            }
         }
+        std::future::pending().await
     }
 }
 
@@ -135,9 +149,10 @@
 }
 
 impl HttpListener {
-    /// Accepts and serves connections. Never ends.
-    pub async fn serve(self: Rc<Self>, socket: TcpListener) {
-        let (this, phase) = (self.clone(), self.phase.clone());
+    /// Accepts and serves connections, until the phase has come to its end. `shared`: others accept from this socket too,
+    /// and what stands in its queue then is theirs.
+    pub async fn serve(self: Rc<Self>, socket: TcpListener, shared: bool) {
+        let this = self.clone();
         let service = move |request: Request| {
             let this = this.clone();
             async move { Ok::<_, Infallible>(this.handle(request).await) }
@@ -150,52 +165,74 @@
             // What can't be read behind a request in hand must not end that one: the guard sees clients go.
             .h1_allow_half_closed(true)
             .on_connect_ext(|io: &Guarded, data| drop(data.insert(io.seat.clone())))
-            .graceful_shutdown_signal(move || phase.clone().until_shut())
             .h1(actix_service::fn_service(service).into_factory());
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
-        let screened = self.routes.iter().any(|r| r.passing.is_some());
         actix_rt::spawn(self.seats.clone().watch());
         loop {
-            let (stream, peer) = match socket.accept().await {
-                Ok(accepted) => accepted,
+            // Both can be dropped here: a connection that is not accepted stands in the queue.
+            let accepted = tokio::select! {
+                accepted = socket.accept() => accepted,
+                () = self.phase.over.notified() => break,
+            };
+            match accepted {
+                Ok((stream, peer)) => self.admit(service.clone(), stream, peer),
                 Err(e) => {
                     // Out of descriptors, say: others may come free.
                     warn!(error = %e, "accept");
                     tokio::time::sleep(Duration::from_millis(20)).await;
-                    continue;
                 }
-            };
-            let _ = stream.set_nodelay(true);
-            let Some(taken) = self.seats.take() else {
-                // All seats are in work. Nothing was taken, so nothing is lost.
-                let _ = stream.try_write(NO_SEAT);
-                continue;
-            };
-            let service = service.clone();
-            actix_rt::spawn(async move {
-                let guarded = Guarded::new(stream, taken.seat.clone(), screened);
-                // In this order: a request that is read in the moment of its client's end must not be taken. Whoever
-                // is dropped here holds nothing but a flow's claim, which tells the core.
-                let cut = tokio::select! {
-                    biased;
-                    cut = taken.seat.until_cut() => Some(cut),
-                    () = guarded.watch() => None,
-                    // Errors here are those of the peer: it went, or what it sent was no HTTP.
-                    _ = service.call((guarded.clone(), Some(peer))) => None,
-                };
-                match cut {
-                    Some(Cut::Away) => return,
-                    Some(Cut::Malformed) if !taken.seat.was_answered() => guarded.say(MALFORMED),
-                    Some(Cut::Late) if !taken.seat.was_answered() => guarded.say(LATE),
-                    Some(Cut::TooLong) if !taken.seat.was_answered() => guarded.say(TOO_LONG),
-                    Some(_) | None => {}
-                }
-                guarded.end().await;
-            });
+            }
             // One that gave way ends before the next comes: guards the bound on descriptors.
             tokio::task::yield_now().await;
         }
+        stops::at("stop.over");
+        // A socket that closes resets what stands in its queue. The kernel is asked, since the event loop may not have
+        // heard; nothing is awaited until it is closed.
+        while !shared {
+            let Ok((stream, peer)) = SockRef::from(&socket).accept() else { return };
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream.into()));
+            if let (Ok(stream), Some(peer)) = (stream, peer.as_socket()) {
+                self.admit(service.clone(), stream, peer);
+            }
+        }
+    }
+
+    /// Serves one connection.
+    fn admit<S>(&self, service: Rc<S>, stream: TcpStream, peer: SocketAddr)
+    where
+        S: Service<(Guarded, Option<SocketAddr>)> + 'static,
+    {
+        let _ = stream.set_nodelay(true);
+        let Some(taken) = self.seats.take() else {
+            // All seats are in work. Nothing was taken, so nothing is lost.
+            let _ = stream.try_write(NO_SEAT);
+            return;
+        };
+        let screened = self.routes.iter().any(|r| r.passing.is_some());
+        let phase = self.phase.clone();
+        actix_rt::spawn(async move {
+            let guarded = Guarded::new(stream, taken.seat.clone(), screened);
+            // In this order: a request that is read in the moment of its client's end must not be taken. Whoever is
+            // dropped here holds nothing but a flow's claim, which tells the core.
+            let cut = tokio::select! {
+                biased;
+                cut = taken.seat.until_cut() => Some(cut),
+                () = guarded.watch() => None,
+                () = phase.until_ended(&guarded) => None,
+                // Errors here are those of the peer: it went, or what it sent was no HTTP.
+                _ = service.call((guarded.clone(), Some(peer))) => None,
+            };
+            match cut {
+                Some(Cut::Away) => return,
+                Some(Cut::Malformed) if !taken.seat.was_answered() => guarded.say(MALFORMED),
+                Some(Cut::Late) if !taken.seat.was_answered() => guarded.say(LATE),
+                Some(Cut::TooLong) if !taken.seat.was_answered() => guarded.say(TOO_LONG),
+                None if phase.closing.get() => return guarded.close().await,
+                Some(_) | None => {}
+            }
+            guarded.end().await;
+        });
     }
 
     async fn handle(&self, request: Request) -> Response<BoxBody> {
--- a/dispatcher/src/listeners/seats.rs
+++ b/dispatcher/src/listeners/seats.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// Nothing of a request has come since the last answer; or nothing at all, where a first one would have by now.
+    pub fn rests(&self) -> bool {
+        match self.stage.get() {
+            Stage::Idle => true,
+            Stage::Silent => self.since.get().elapsed() > ON_ITS_WAY,
+            _ => false,
+        }
+    }
+
     pub fn park(&self, reader: &Waker) {
         self.reader.set(Some(reader.clone()));
     }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -217,6 +217,7 @@
     let fleet = control.fleet.clone();
     let _ = reloaded.set(control);
     let Config { routes, known, .. } = config;
+    let shared = config.inherited.is_some();
     let origin = match config.inherited {
         Some(fd) => Origin::Inherited(fd),
         None => Origin::Bind(config.listen),
@@ -262,7 +263,7 @@
         prefix,
         made: Cell::new(0),
     };
-    actix_rt::spawn(Rc::new(listener).serve(socket));
+    let serving = actix_rt::spawn(Rc::new(listener).serve(socket, shared));
     if let (Some(at), Some(calls)) = (config.door, calls) {
         admin::door::start(at, calls).await?;
     }
@@ -290,6 +291,9 @@
     if let Some(fleet) = fleet {
         fleet.leave().await;
     }
+    // Whoever still stands at the door is let in and refused; then there is none.
+    phase.end();
+    let _ = serving.await;
     let last = tokio::time::Instant::now() + LAST_WORDS;
     while seats.count() > 0 && tokio::time::Instant::now() < last {
         tokio::time::sleep(Duration::from_millis(5)).await;
