--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -189,8 +189,10 @@
         stops::at("stop.over");
         // A socket that closes resets what stands in its queue. The kernel is asked, since the event loop may not have
         // heard; nothing is awaited until it is closed.
-        while !shared {
-            let Ok((stream, peer)) = SockRef::from(&socket).accept() else { return };
+        if shared {
+            return;
+        }
+        while let Ok((stream, peer)) = SockRef::from(&socket).accept() {
             let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream.into()));
             if let (Ok(stream), Some(peer)) = (stream, peer.as_socket()) {
                 self.admit(service.clone(), stream, peer);
