Ask for the list soon after a watch was ended, whatever the size of the tier

The dispatchers whose watch was ended sent late; those whose first call failed in the outage did as well and were not held to it. Lines: list.rs gave every failed call to the module, whose wait grows with the tier.

--- a/control/src/watch.rs
+++ b/control/src/watch.rs
@@ -103,11 +103,19 @@
         self.rng.random_range(gap / 2..=gap * 3 / 2).min(longest)
     }
 
-    /// A watch brought no answer by the end of its wait and some more: it fell silent. What it missed counts as told
-    /// soon, whatever the size of the tier, so the list is asked for at once. Those watches began at many times, and so
-    /// end at many; and one such call in a row is all: how that one fails shows whether discovery can't keep up.
-    pub fn silent(&mut self) {
+    /// A watch came to no answer; when to ask for the list, unless the module has to say. Whatever the size of the tier,
+    /// what a watch missed that fell silent counts as told soon after its wait; and one that was ended holds for a time
+    /// from the call that began it, which may be over. So there is one call soon, which does not wait: how that one fails
+    /// shows whether discovery can't keep up. Silent watches began at many times, and so end at many; those that are
+    /// ended may all be ended at once.
+    pub fn ended(&mut self, silent: bool) -> Option<Millis> {
         self.put_off = true;
+        match (silent, self.is_spread()) {
+            (true, _) => Some(0),
+            (false, true) => Some(self.rng.random_range(0..=Millis::from(self.dispatchers) * LEAST)),
+            // The module's own wait is as short in such a tier.
+            (false, false) => None,
+        }
     }
 
     /// A call failed after `took`: discovery refused it, or was silent.
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -188,10 +188,12 @@
                 Err(e) => {
                     warn!(discovery = %at, error = %e, took_ms, "discovery: no list came");
                     after = after.filter(|_| !matches!(e, NoList::Unreadable(_)));
-                    // The next call does not wait: its silence is a failure like any other.
-                    if !wait.is_zero() && matches!(e, NoList::Call(CallError::Timeout)) {
-                        pace.silent();
+                    // The next call does not wait: if it comes to nothing, that is a failure like any other.
+                    let silent = matches!(e, NoList::Call(CallError::Timeout));
+                    let soon = if wait.is_zero() { None } else { pace.ended(silent) };
+                    if let Some(gap) = soon {
                         wait = Duration::ZERO;
+                        pause(gap, &mut discovery).await;
                         continue;
                     }
                 }
--- a/dispatcher/tests/watches.rs
+++ b/dispatcher/tests/watches.rs
@@ -42,3 +42,18 @@
         assert_eq!(rig.served(&format!("c{i}"), "quote"), 1);
     }
 }
+
+/// All watches of a tier are ended at once: a dispatcher without one is held to its list for the time that the settings
+/// give for asking, from the call that began it. Seen: the tier's size put the next call off for up to 36 s.
+#[test]
+fn a_watch_that_is_ended_is_asked_for_in_time_in_a_large_tier() {
+    let settings = SETTINGS.replace(r#""instances": 1"#, r#""instances": 60"#);
+    let rig = Rig::with(2, &settings, None);
+    rig.list(&["up", "up"]);
+    rig.end_watches();
+    let since = Instant::now();
+    rig.list(&["draining", "up"]);
+    // 60 calls of 10 ms each; the module's own wait would be 3.6 s at least.
+    assert!(since.elapsed() < Duration::from_millis(3000), "{:?}", since.elapsed());
+    assert_eq!(rig.served("c1", "quote"), 1);
+}
