--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -132,6 +132,11 @@
         self.seen.try_recv().is_err()
     }
 
+    /// The first lines of all that has come.
+    pub fn asked(&self) -> Vec<String> {
+        self.seen.try_iter().map(|seen| seen.message.first).collect()
+    }
+
     /// Takes what has come, if anything has; true unless it is that job, which is then taken with 202.
     pub fn has_none_for(&self, reference: &str) -> bool {
         let Ok(seen) = self.seen.try_recv() else { return true };
