Keep a worker's words to the attempt they are of, and what was taken taken

`failed`, `returned` or `lost` of one attempt, said again while the next runs at the same worker, ended that one, and a third went out beside it (`news` knew only id and worker). Now such a word has the attempt given up first, and does not say that it never ran (`Forward::again`, `waits`). - A word that came while the DELETE was on its way let the next attempt go to the same worker at once, where that DELETE met it. The word waits for the call, unless not a byte of it is out. - A 202 whose body broke or never ended counted as broken or silent: `once` failed, others went out beside the one that ran (`exchange` read on before it said so). Taken is what the head says. What is no 202 and came so close behind another answer has the job given up, and is a doubt. The client and its pools moved from http.rs to client.rs unchanged but for this.

--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -82,6 +82,8 @@
     pub job: Rc<Job>,
     /// When the dispatcher stops waiting.
     pub until: Instant,
+    /// An earlier forward of the flow ended at this target: what is said again of that one looks like this one's.
+    pub again: bool,
 }
 
 /// The workers' side: one implementation for each protocol that workers speak.
--- a/dispatcher/src/flow/core.rs
+++ b/dispatcher/src/flow/core.rs
@@ -18,6 +18,8 @@
     pub(super) ask: Option<Ask>,
     pub(super) until: Instant,
     pub(super) out: Option<Out>,
+    /// Where forwards of it have ended.
+    pub(super) before: Vec<TargetId>,
     /// The answer passes: the flow is bound to the forward that is out. How long its head took.
     pub(super) bound: Option<Duration>,
 }
@@ -129,6 +131,7 @@
             stage: known.stage,
             job: flow.job.clone(),
             until: flow.until,
+            again: flow.before.contains(&target),
         };
         flow.out = Some(Out { forward: forward.clone(), sent: Instant::now(), cancelling: false });
         let out = self.out.entry(target).or_default();
@@ -156,6 +159,7 @@
         }
         let Some(flow) = self.flows.get_mut(&ticket.flow) else { return Vec::new() };
         let Some(out) = flow.out.take() else { return Vec::new() };
+        flow.before.push(out.forward.target);
         let left = self.out.entry(out.forward.target).or_default();
         *left = left.saturating_sub(1);
         self.changed.push((out.forward.target, Some(*left)));
--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -118,7 +118,8 @@
             core.deadlines.insert((until, id));
             debug!(flow = id.0, class = ask.class, "flow came");
             let (job, listener, ask) = (Rc::new(job), Some(listener(id)), Some(ask));
-            core.flows.insert(id, Flow { job, listener, ask, until, out: None, bound: None });
+            core.flows
+                .insert(id, Flow { job, listener, ask, until, out: None, before: Vec::new(), bound: None });
             id
         };
         let witness = self.witness.borrow().clone();
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -3,7 +3,7 @@
 
 use crate::facade::{ListKind, Listed, Stage};
 use crate::flow::{Entry, Flows, Place};
-use crate::targets::http::{CallError, HttpClient};
+use crate::targets::client::{CallError, HttpClient};
 use futures_util::FutureExt;
 use lineroute_control::watch::WatchPace;
 use rustc_hash::FxHashMap;
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -40,7 +40,8 @@
 use std::time::Duration;
 use store::Store;
 use targets::beanstalkd::BeanstalkdTargets;
-use targets::http::{HttpClient, HttpTargets};
+use targets::client::HttpClient;
+use targets::http::HttpTargets;
 use targets::upstream::Upstreams;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -58,9 +59,9 @@
 const STREAM_FLOOR: usize = 16 << 10;
 const STREAM_CEILING: usize = 256 << 10;
 
-/// How long answers that beanstalkd clients have not fetched are kept once everything else is done.
 /// How long answers that pass may go on once everything else is done; then they are cut short.
 const PASS_ON: Duration = Duration::from_secs(10);
+/// How long answers that beanstalkd clients have not fetched are kept once everything else is done.
 const KEEP_ANSWERS: Duration = Duration::from_secs(5);
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/dispatcher/src/targets/client.rs
@@ -0,0 +1,322 @@
+//! Calls by HTTP to workers and discovery: a pool of connections for each address, bounds on calls at a time, and what is
+//! known of a call that came to no answer.
+
+use super::gate::{self, Gate};
+use super::load::{self, LOAD_HEADER};
+use super::look::look;
+use crate::facade::Load;
+use crate::fleet::Act;
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::{Method, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::{FutureExt, StreamExt};
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Answers of workers are short: results come as calls.
+pub(super) const MAX_ANSWER: usize = 64 << 10;
+/// How long a probe may take.
+pub(super) const PROBE_WITHIN: Duration = Duration::from_millis(200);
+/// How long a worker may take to say that it has taken a job. It does not wait for room: it takes or turns away.
+pub(super) const TAKEN_WITHIN: Duration = Duration::from_millis(500);
+/// Our idle connections end before a worker ends them: a request written to one it has closed is lost.
+const IDLE_PART: f64 = 0.85;
+/// How long connections to a worker are not kept after one broke; each further time twice as long.
+const NOT_KEPT: Duration = Duration::from_secs(10);
+const NOT_KEPT_DOUBLINGS: u32 = 5;
+
+/// Why a call brought no answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// Nobody listens there: the process is dead, and what it had with it.
+    Refused,
+    /// No connection came up: nothing was sent.
+    NoConnection(String),
+    /// Too many calls are out: nothing was sent, and it says nothing of the other side.
+    Busy,
+    /// It must no longer be sent: nothing was.
+    Shut,
+    /// The other side had closed the kept connection: nothing was sent.
+    Stale,
+    /// The connection broke before the last byte was written: nobody runs half a request.
+    Unsent,
+    /// No answer in time.
+    Timeout,
+    /// It broke, or what came was no answer: the request may have arrived.
+    Broken(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::Refused => write!(f, "connection refused"),
+            CallError::NoConnection(e) => write!(f, "no connection: {e}"),
+            CallError::Busy => write!(f, "too many calls are out"),
+            CallError::Shut => write!(f, "not to be sent any longer"),
+            CallError::Stale => write!(f, "the kept connection was closed"),
+            CallError::Unsent => write!(f, "broken before it was sent"),
+            CallError::Timeout => write!(f, "no answer in time"),
+            CallError::Broken(e) => write!(f, "broken: {e}"),
+        }
+    }
+}
+
+impl From<SendRequestError> for CallError {
+    fn from(error: SendRequestError) -> Self {
+        match error {
+            // awc says this also of a connection that ended before the head of the answer: it was in use.
+            SendRequestError::Connect(ConnectError::Disconnected) => CallError::Broken("disconnected".into()),
+            SendRequestError::Connect(ConnectError::Io(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                CallError::Refused
+            }
+            SendRequestError::Connect(e) => CallError::NoConnection(e.to_string()),
+            SendRequestError::Timeout => CallError::Timeout,
+            e => CallError::Broken(e.to_string()),
+        }
+    }
+}
+
+/// A pool of connections for each address that is called, and a bound on calls at a time.
+#[derive(Clone)]
+pub struct HttpClient {
+    pools: Rc<RefCell<Pools>>,
+    calls: Rc<Cell<usize>>,
+    most: usize,
+}
+
+/// awc ends the idle connections of an address only when it calls that address again. Guards against those to
+/// workers that have left, which would stay for good: a pool that is not used goes, with all it holds.
+struct Pools {
+    by: FxHashMap<SocketAddr, Pool>,
+    swept: Instant,
+    connect_within: Duration,
+    keepalive: Duration,
+    most: usize,
+}
+
+/// The connections to one address. Some ends break kept connections under the next request: guards against
+/// that by keeping none for a time after one broke.
+struct Pool {
+    client: awc::Client,
+    used: Instant,
+    breaks: u32,
+    /// Until when none is kept.
+    unkept: Option<Instant>,
+}
+
+impl Pools {
+    /// What awc would do by itself is named here: it gives up after 5 s, and follows redirects, which would
+    /// make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
+    fn connect(&self, keep: Duration) -> awc::Client {
+        let connector = awc::Connector::new()
+            .connector(gate::connector())
+            .timeout(self.connect_within)
+            .handshake_timeout(self.connect_within)
+            .conn_keep_alive(keep)
+            .conn_lifetime(Duration::from_secs(24 * 3600))
+            .disconnect_timeout(Duration::from_millis(200))
+            .limit(self.most * 2);
+        awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish()
+    }
+
+    fn client(&mut self, addr: SocketAddr) -> awc::Client {
+        let now = Instant::now();
+        if now.duration_since(self.swept) >= self.keepalive / 4 {
+            self.swept = now;
+            let is_unkept = |pool: &Pool| pool.unkept.is_some_and(|until| now < until);
+            self.by.retain(|_, p| now.duration_since(p.used) <= self.keepalive || is_unkept(p));
+        }
+        if self.by.get(&addr).is_none_or(|pool| pool.unkept.is_some_and(|until| now >= until)) {
+            let client = self.connect(self.keepalive.mul_f64(IDLE_PART));
+            let breaks = self.by.get(&addr).map_or(0, |pool| pool.breaks);
+            self.by.insert(addr, Pool { client, used: now, breaks, unkept: None });
+        }
+        let pool = self.by.get_mut(&addr);
+        pool.map(|pool| {
+            pool.used = now;
+            pool.client.clone()
+        })
+        .unwrap_or_default()
+    }
+
+    /// A connection to this address broke.
+    fn broke(&mut self, addr: SocketAddr) {
+        let now = Instant::now();
+        // Those of a dead pool end one after the other: that is one break.
+        let Some(breaks) = self.by.get(&addr).filter(|p| p.unkept.is_none()).map(|p| p.breaks) else {
+            return;
+        };
+        let client = self.connect(Duration::ZERO);
+        let unkept = Some(now + NOT_KEPT * 2u32.pow(breaks.min(NOT_KEPT_DOUBLINGS)));
+        self.by.insert(addr, Pool { client, used: now, breaks: breaks + 1, unkept });
+    }
+}
+
+struct Call(Rc<Cell<usize>>);
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl HttpClient {
+    pub fn new(connect_within: Duration, keepalive: Duration, most: usize) -> Self {
+        let (by, swept) = (FxHashMap::default(), Instant::now());
+        let pools = Pools { by, swept, connect_within, keepalive, most };
+        HttpClient { pools: Rc::new(RefCell::new(pools)), calls: Rc::default(), most }
+    }
+
+    pub async fn get(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        within: Duration,
+        limit: usize,
+    ) -> Result<(u16, Bytes), CallError> {
+        let answer = self.call(Method::GET, addr, path, &[], Bytes::new(), within, limit).await?;
+        Ok((answer.status, answer.body))
+    }
+
+    /// The same for the fleet; nothing where it may not act for it any longer.
+    pub(super) async fn look(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        act: &Act,
+    ) -> Result<Option<(u16, Bytes)>, CallError> {
+        let Some(_call) = self.begin(&Method::GET) else { return Err(CallError::Busy) };
+        let connect_within = self.pools.borrow().connect_within;
+        look(addr, path, act, (connect_within, PROBE_WITHIN), MAX_ANSWER).await
+    }
+
+    /// A place among the calls that may be out.
+    fn begin(&self, method: &Method) -> Option<Call> {
+        // Jobs leave room for what is short: probes, and giving jobs up.
+        let most = if *method == Method::POST { self.most } else { self.most + self.most / 4 };
+        if self.calls.get() >= most {
+            return None;
+        }
+        self.calls.set(self.calls.get() + 1);
+        Some(Call(self.calls.clone()))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        within: Duration,
+        limit: usize,
+    ) -> Result<HttpAnswer, CallError> {
+        let Some(_call) = self.begin(&method) else { return Err(CallError::Busy) };
+        let exchange = self.exchange(method, addr, path, headers, body, limit);
+        let answer = tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout));
+        self.judge(addr, answer)
+    }
+
+    /// The same through a gate, which is looked at right before the first byte; from that on it may take `within`, and
+    /// `left` in all.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) async fn gated(
+        &self,
+        gate: &Rc<Gate>,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        (within, left): (Duration, Duration),
+        limit: usize,
+    ) -> Result<HttpAnswer, CallError> {
+        let Some(_call) = self.begin(&method) else { return Err(CallError::Busy) };
+        let until = Instant::now() + left;
+        loop {
+            let exchange = self.exchange(method.clone(), addr, path, headers, body.clone(), limit);
+            let left = until.saturating_duration_since(Instant::now());
+            match gate.clone().call(exchange, within, left).await {
+                // The pool has one connection less, and the request has not left: the next one is tried.
+                Err(CallError::Stale) => gate.again(),
+                answer => return self.judge(addr, answer),
+            }
+        }
+    }
+
+    fn judge(
+        &self,
+        addr: SocketAddr,
+        answer: Result<HttpAnswer, CallError>,
+    ) -> Result<HttpAnswer, CallError> {
+        if let Err(CallError::Broken(_) | CallError::Unsent) = answer {
+            self.pools.borrow_mut().broke(addr);
+        }
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        limit: usize,
+    ) -> Result<HttpAnswer, CallError> {
+        let has_body = method == Method::POST;
+        let client = self.pools.borrow_mut().client(addr);
+        let mut request = client.request(method, format!("http://{addr}{path}")).no_decompress();
+        for &(name, value) in headers {
+            request = request.insert_header((name, value));
+        }
+        let mut response = if has_body { request.send_body(body).await? } else { request.send().await? };
+        let rejected = response.headers().get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
+        let load = response.headers().get(LOAD_HEADER).and_then(|v| load::from_line(v.to_str().ok()?));
+        if response.status() == StatusCode::ACCEPTED {
+            // The job is taken, whatever becomes of the rest: guards against a second copy for a body that breaks, or
+            // never ends. It is read only to have the connection free again.
+            if response.next().now_or_never().is_none_or(|chunk| chunk.is_some()) {
+                // Dropped, it ends the connection; nobody waits for it.
+                actix_rt::spawn(tokio::time::timeout(TAKEN_WITHIN, async move {
+                    let mut left = limit;
+                    while let Some(Ok(chunk)) = response.next().await {
+                        left = left.saturating_sub(chunk.len());
+                        if left == 0 {
+                            break;
+                        }
+                    }
+                }));
+            }
+            return Ok(HttpAnswer { status: 202, rejected, load, body: Bytes::new() });
+        }
+        let mut body = BytesMut::new();
+        // Read to its end, also where nobody wants it: only then is the connection free again.
+        while let Some(chunk) = response.next().await {
+            let chunk = chunk.map_err(|e| CallError::Broken(e.to_string()))?;
+            if body.len() + chunk.len() > limit {
+                return Err(CallError::Broken("the answer is too long".into()));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.freeze() })
+    }
+}
+
+pub(super) struct HttpAnswer {
+    pub(super) status: u16,
+    pub(super) rejected: bool,
+    pub(super) load: Option<Load>,
+    body: Bytes,
+}
--- a/dispatcher/src/targets/gate.rs
+++ b/dispatcher/src/targets/gate.rs
@@ -1,7 +1,7 @@
 //! The last look before a request's first byte. The client library finds a connection, or waits for one, and then
 //! writes: guards against what happens in between, and tells what was written when a call comes to no answer.
 
-use super::http::CallError;
+use super::client::CallError;
 use crate::stops;
 use actix_rt::net::{ActixStream, Ready};
 use actix_service::{fn_service, Service};
@@ -40,17 +40,22 @@
     Unsent,
 }
 
+/// A worker that answers twice does so within this time: an answer to a request that went out sooner behind another
+/// one's on the same connection may be that one's. No setting tells of it.
+const SAID_TWICE: Duration = Duration::from_millis(25);
+
 /// What one request has to pass.
 #[derive(Default)]
 pub struct Gate {
     look: Option<Box<dyn Fn() -> bool>>,
     at: Cell<At>,
+    closely: Cell<bool>,
 }
 
 impl Gate {
     /// `look` is called once there is a connection that takes bytes, right before the first one goes out.
     pub fn new(look: impl Fn() -> bool + 'static) -> Rc<Gate> {
-        Rc::new(Gate { look: Some(Box::new(look)), at: Cell::default() })
+        Rc::new(Gate { look: Some(Box::new(look)), ..Gate::default() })
     }
 
     /// Whether a byte may have gone out.
@@ -58,6 +63,11 @@
         matches!(self.at.get(), At::Open(_) | At::Unsent)
     }
 
+    /// Whether the request went out right behind the answer to another one.
+    pub fn follows_closely(&self) -> bool {
+        self.closely.get()
+    }
+
     /// Nothing was written: the call may be made anew.
     pub fn again(&self) {
         if self.at.get() == At::Stale {
@@ -65,10 +75,11 @@
         }
     }
 
-    fn pass(&self, stream: &TcpStream) -> io::Result<()> {
+    fn pass(&self, Gated { stream, heard }: &Gated) -> io::Result<()> {
         if self.at.get() != At::Waiting {
             return Ok(());
         }
+        self.closely.set(heard.is_some_and(|heard| heard.elapsed() < SAID_TWICE));
         // Nothing is awaited from here to the write.
         stops::at("post.look");
         let at = match has_ended(stream) {
@@ -132,7 +143,11 @@
 
 /// A connection that asks the gate.
 #[derive(Debug)]
-pub struct Gated(TcpStream);
+pub struct Gated {
+    stream: TcpStream,
+    /// When something was last read from it.
+    heard: Option<Instant>,
+}
 
 /// Opens connections that ask the gate.
 pub fn connector(
@@ -142,7 +157,7 @@
         let opened = plain.call(info);
         async move {
             let (stream, uri) = opened.await?.into_parts();
-            Ok(Connection::new(uri, Gated(stream)))
+            Ok(Connection::new(uri, Gated { stream, heard: None }))
         }
     })
 }
@@ -153,17 +168,24 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.heard = Some(Instant::now());
+        }
+        read
     }
 }
 
 impl AsyncWrite for Gated {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         // What is said outside of any call passes: the end of a connection.
-        let Ok(gate) = GATE.try_with(Rc::clone) else { return Pin::new(&mut self.0).poll_write(cx, buf) };
-        ready!(self.0.poll_write_ready(cx))?;
-        gate.pass(&self.0)?;
-        let written = ready!(Pin::new(&mut self.0).poll_write(cx, buf));
+        let Ok(gate) = GATE.try_with(Rc::clone) else {
+            return Pin::new(&mut self.stream).poll_write(cx, buf);
+        };
+        ready!(self.stream.poll_write_ready(cx))?;
+        gate.pass(&self)?;
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
         if written.is_err() {
             gate.at.set(At::Unsent);
         }
@@ -171,20 +193,20 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
 impl ActixStream for Gated {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.0, cx)
+        ActixStream::poll_read_ready(&self.stream, cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, cx)
+        ActixStream::poll_write_ready(&self.stream, cx)
     }
 }
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -1,312 +1,29 @@
 //! Workers that speak the platform's HTTP: a job is posted, taken with 202, and its fate comes as calls to
 //! the dispatcher's own address (`HttpTargets::news`). After the 202 a forward lives without a connection.
 
-use super::gate::{self, Gate};
-use super::load::{self, LOAD_HEADER};
-use super::look::look;
+use super::client::{CallError, HttpAnswer, HttpClient, MAX_ANSWER, PROBE_WITHIN, TAKEN_WITHIN};
+use super::gate::Gate;
+use super::load;
 use crate::facade::{Load, Outcome, TargetId};
 use crate::fleet::Act;
 use crate::flow::{Flows, Forward, Target, Ticket};
-use awc::error::{ConnectError, SendRequestError};
 use awc::http::{header, Method};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
-use std::cell::{Cell, RefCell};
-use std::fmt;
-use std::io::ErrorKind;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 use tracing::debug;
 
-/// Answers of workers are short: results come as calls.
-const MAX_ANSWER: usize = 64 << 10;
-/// How long a probe may take.
-const PROBE_WITHIN: Duration = Duration::from_millis(200);
 /// Between attempts to tell a worker that is not reached that a job is given up.
 const CANCEL_AGAIN: Duration = Duration::from_millis(100);
 /// How long the answer to giving up a job is waited for, beyond connecting.
 const CANCEL_WITHIN: Duration = Duration::from_millis(150);
 /// So many answers to that may stay out: one connection may have fallen silent, not two.
 const CANCEL_TIMEOUTS: u32 = 2;
-/// How long a worker may take to say that it has taken a job. It does not wait for room: it takes or turns away.
-const TAKEN_WITHIN: Duration = Duration::from_millis(500);
-/// Our idle connections end before a worker ends them: a request written to one it has closed is lost.
-const IDLE_PART: f64 = 0.85;
-/// How long connections to a worker are not kept after one broke; each further time twice as long.
-const NOT_KEPT: Duration = Duration::from_secs(10);
-const NOT_KEPT_DOUBLINGS: u32 = 5;
-
-/// Why a call brought no answer.
-#[derive(Debug)]
-pub enum CallError {
-    /// Nobody listens there: the process is dead, and what it had with it.
-    Refused,
-    /// No connection came up: nothing was sent.
-    NoConnection(String),
-    /// Too many calls are out: nothing was sent, and it says nothing of the other side.
-    Busy,
-    /// It must no longer be sent: nothing was.
-    Shut,
-    /// The other side had closed the kept connection: nothing was sent.
-    Stale,
-    /// The connection broke before the last byte was written: nobody runs half a request.
-    Unsent,
-    /// No answer in time.
-    Timeout,
-    /// It broke, or what came was no answer: the request may have arrived.
-    Broken(String),
-}
-
-impl fmt::Display for CallError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            CallError::Refused => write!(f, "connection refused"),
-            CallError::NoConnection(e) => write!(f, "no connection: {e}"),
-            CallError::Busy => write!(f, "too many calls are out"),
-            CallError::Shut => write!(f, "not to be sent any longer"),
-            CallError::Stale => write!(f, "the kept connection was closed"),
-            CallError::Unsent => write!(f, "broken before it was sent"),
-            CallError::Timeout => write!(f, "no answer in time"),
-            CallError::Broken(e) => write!(f, "broken: {e}"),
-        }
-    }
-}
-
-impl From<SendRequestError> for CallError {
-    fn from(error: SendRequestError) -> Self {
-        match error {
-            // awc says this also of a connection that ended before the head of the answer: it was in use.
-            SendRequestError::Connect(ConnectError::Disconnected) => CallError::Broken("disconnected".into()),
-            SendRequestError::Connect(ConnectError::Io(e)) if e.kind() == ErrorKind::ConnectionRefused => {
-                CallError::Refused
-            }
-            SendRequestError::Connect(e) => CallError::NoConnection(e.to_string()),
-            SendRequestError::Timeout => CallError::Timeout,
-            e => CallError::Broken(e.to_string()),
-        }
-    }
-}
-
-/// A pool of connections for each address that is called, and a bound on calls at a time.
-#[derive(Clone)]
-pub struct HttpClient {
-    pools: Rc<RefCell<Pools>>,
-    calls: Rc<Cell<usize>>,
-    most: usize,
-}
-
-/// awc ends the idle connections of an address only when it calls that address again. Guards against those to
-/// workers that have left, which would stay for good: a pool that is not used goes, with all it holds.
-struct Pools {
-    by: FxHashMap<SocketAddr, Pool>,
-    swept: Instant,
-    connect_within: Duration,
-    keepalive: Duration,
-    most: usize,
-}
-
-/// The connections to one address. Some ends break kept connections under the next request: guards against
-/// that by keeping none for a time after one broke.
-struct Pool {
-    client: awc::Client,
-    used: Instant,
-    breaks: u32,
-    /// Until when none is kept.
-    unkept: Option<Instant>,
-}
-
-impl Pools {
-    /// What awc would do by itself is named here: it gives up after 5 s, and follows redirects, which would
-    /// make a second attempt. Its own limit makes calls wait; ours refuses them (`most`).
-    fn connect(&self, keep: Duration) -> awc::Client {
-        let connector = awc::Connector::new()
-            .connector(gate::connector())
-            .timeout(self.connect_within)
-            .handshake_timeout(self.connect_within)
-            .conn_keep_alive(keep)
-            .conn_lifetime(Duration::from_secs(24 * 3600))
-            .disconnect_timeout(Duration::from_millis(200))
-            .limit(self.most * 2);
-        awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish()
-    }
-
-    fn client(&mut self, addr: SocketAddr) -> awc::Client {
-        let now = Instant::now();
-        if now.duration_since(self.swept) >= self.keepalive / 4 {
-            self.swept = now;
-            let is_unkept = |pool: &Pool| pool.unkept.is_some_and(|until| now < until);
-            self.by.retain(|_, p| now.duration_since(p.used) <= self.keepalive || is_unkept(p));
-        }
-        if self.by.get(&addr).is_none_or(|pool| pool.unkept.is_some_and(|until| now >= until)) {
-            let client = self.connect(self.keepalive.mul_f64(IDLE_PART));
-            let breaks = self.by.get(&addr).map_or(0, |pool| pool.breaks);
-            self.by.insert(addr, Pool { client, used: now, breaks, unkept: None });
-        }
-        let pool = self.by.get_mut(&addr);
-        pool.map(|pool| {
-            pool.used = now;
-            pool.client.clone()
-        })
-        .unwrap_or_default()
-    }
-
-    /// A connection to this address broke.
-    fn broke(&mut self, addr: SocketAddr) {
-        let now = Instant::now();
-        // Those of a dead pool end one after the other: that is one break.
-        let Some(breaks) = self.by.get(&addr).filter(|p| p.unkept.is_none()).map(|p| p.breaks) else {
-            return;
-        };
-        let client = self.connect(Duration::ZERO);
-        let unkept = Some(now + NOT_KEPT * 2u32.pow(breaks.min(NOT_KEPT_DOUBLINGS)));
-        self.by.insert(addr, Pool { client, used: now, breaks: breaks + 1, unkept });
-    }
-}
-
-struct Call(Rc<Cell<usize>>);
-
-impl Drop for Call {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-impl HttpClient {
-    pub fn new(connect_within: Duration, keepalive: Duration, most: usize) -> Self {
-        let (by, swept) = (FxHashMap::default(), Instant::now());
-        let pools = Pools { by, swept, connect_within, keepalive, most };
-        HttpClient { pools: Rc::new(RefCell::new(pools)), calls: Rc::default(), most }
-    }
-
-    pub async fn get(
-        &self,
-        addr: SocketAddr,
-        path: &str,
-        within: Duration,
-        limit: usize,
-    ) -> Result<(u16, Bytes), CallError> {
-        let answer = self.call(Method::GET, addr, path, &[], Bytes::new(), within, limit).await?;
-        Ok((answer.status, answer.body))
-    }
-
-    /// The same for the fleet; nothing where it may not act for it any longer.
-    async fn look(&self, addr: SocketAddr, path: &str, act: &Act) -> Result<Option<(u16, Bytes)>, CallError> {
-        let Some(_call) = self.begin(&Method::GET) else { return Err(CallError::Busy) };
-        let connect_within = self.pools.borrow().connect_within;
-        look(addr, path, act, (connect_within, PROBE_WITHIN), MAX_ANSWER).await
-    }
-
-    /// A place among the calls that may be out.
-    fn begin(&self, method: &Method) -> Option<Call> {
-        // Jobs leave room for what is short: probes, and giving jobs up.
-        let most = if *method == Method::POST { self.most } else { self.most + self.most / 4 };
-        if self.calls.get() >= most {
-            return None;
-        }
-        self.calls.set(self.calls.get() + 1);
-        Some(Call(self.calls.clone()))
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    async fn call(
-        &self,
-        method: Method,
-        addr: SocketAddr,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Bytes,
-        within: Duration,
-        limit: usize,
-    ) -> Result<HttpAnswer, CallError> {
-        let Some(_call) = self.begin(&method) else { return Err(CallError::Busy) };
-        let exchange = self.exchange(method, addr, path, headers, body, limit);
-        let answer = tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout));
-        self.judge(addr, answer)
-    }
-
-    /// The same through a gate, which is looked at right before the first byte; from that on it may take `within`, and
-    /// `left` in all.
-    #[allow(clippy::too_many_arguments)]
-    async fn post(
-        &self,
-        gate: &Rc<Gate>,
-        addr: SocketAddr,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Bytes,
-        (within, left): (Duration, Duration),
-        limit: usize,
-    ) -> Result<HttpAnswer, CallError> {
-        let Some(_call) = self.begin(&Method::POST) else { return Err(CallError::Busy) };
-        let until = Instant::now() + left;
-        loop {
-            let exchange = self.exchange(Method::POST, addr, path, headers, body.clone(), limit);
-            let left = until.saturating_duration_since(Instant::now());
-            match gate.clone().call(exchange, within, left).await {
-                // The pool has one connection less, and the request has not left: the next one is tried.
-                Err(CallError::Stale) => gate.again(),
-                answer => return self.judge(addr, answer),
-            }
-        }
-    }
-
-    fn judge(
-        &self,
-        addr: SocketAddr,
-        answer: Result<HttpAnswer, CallError>,
-    ) -> Result<HttpAnswer, CallError> {
-        if let Err(CallError::Broken(_) | CallError::Unsent) = answer {
-            self.pools.borrow_mut().broke(addr);
-        }
-        answer
-    }
-
-    async fn exchange(
-        &self,
-        method: Method,
-        addr: SocketAddr,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Bytes,
-        limit: usize,
-    ) -> Result<HttpAnswer, CallError> {
-        let has_body = method == Method::POST;
-        let client = self.pools.borrow_mut().client(addr);
-        let mut request = client.request(method, format!("http://{addr}{path}")).no_decompress();
-        for &(name, value) in headers {
-            request = request.insert_header((name, value));
-        }
-        let mut response = if has_body { request.send_body(body).await? } else { request.send().await? };
-        let rejected = response.headers().get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
-        let load = response.headers().get(LOAD_HEADER).and_then(|v| load::from_line(v.to_str().ok()?));
-        let mut body = BytesMut::new();
-        // Read to its end, also where nobody wants it: only then is the connection free again.
-        while let Some(chunk) = response.next().await {
-            let chunk = chunk.map_err(|e| CallError::Broken(e.to_string()))?;
-            if body.len() + chunk.len() > limit {
-                return Err(CallError::Broken("the answer is too long".into()));
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.freeze() })
-    }
-}
-
-struct HttpAnswer {
-    status: u16,
-    rejected: bool,
-    load: Option<Load>,
-    body: Bytes,
-}
 
 /// What a worker tells of a job.
 #[derive(Debug, Deserialize)]
@@ -323,12 +40,21 @@
 }
 
 struct Out {
-    ticket: Ticket,
-    worker: Rc<str>,
+    forward: Forward,
     task: Option<JoinHandle<()>>,
     gate: Rc<Gate>,
     /// The worker has told of the job.
     told: bool,
+    /// The call that gives it up, where there is one, and what the worker has said meanwhile.
+    giving_up: Option<Rc<Gate>>,
+    word: Option<(Outcome, Option<Load>)>,
+}
+
+impl Out {
+    /// Whether the worker has said of this very forward that it is over.
+    fn is_over(&self) -> bool {
+        self.word.is_some() && !self.forward.again
+    }
 }
 
 /// The forwards that are out at such workers, by the reference of their job.
@@ -350,14 +76,15 @@
     /// Takes a worker's call. It may come before the 202, again, or of an attempt that is over: only what
     /// the worker tells of the attempt that it now has is taken up. Whether it was a worker's.
     pub fn news(&self, news: JobNews) -> bool {
-        let ticket = {
+        let forward = {
             let mut out = self.out.borrow_mut();
-            out.get_mut(&news.id).filter(|o| *o.worker == *news.from).map(|o| {
+            out.get_mut(&news.id).filter(|o| *o.forward.name == *news.from).map(|o| {
                 o.told = true;
-                o.ticket
+                o.forward.clone()
             })
         };
-        let Some(ticket) = ticket else { return false };
+        let Some(forward) = forward else { return false };
+        let ticket = forward.ticket;
         let end = match news.state.as_str() {
             "started" => {
                 self.flows.begun(ticket);
@@ -378,10 +105,32 @@
             other => Bytes::from(other.to_string()),
         });
         let load = news.load.as_ref().and_then(|l| load::from_object(l.as_object()?));
+        if end != Outcome::Served && self.waits(&forward, end, load) {
+            return true;
+        }
         self.end(&news.id, ticket, end, result, load);
         true
     }
 
+    /// Whether a worker's word that a forward came to nothing has to wait until the worker knows that it is given up:
+    /// where the call that says so is on its way, since it would meet the next attempt there; and where the word may
+    /// be of an earlier attempt there, said again.
+    fn waits(&self, forward: &Forward, end: Outcome, load: Option<Load>) -> bool {
+        let mut out = self.out.borrow_mut();
+        let own = out.get_mut(&forward.job.reference).filter(|o| o.forward.ticket == forward.ticket);
+        let Some(own) = own else { return false };
+        // Of one that may run on it can't be said that it never ran.
+        let end = if forward.again && end == Outcome::NoRoom { Outcome::Fault } else { end };
+        let calling = own.giving_up.as_ref().map(|gate| gate.is_open());
+        own.word = Some((end, load));
+        if forward.again && calling.is_none() {
+            let (this, forward) = (self.clone(), forward.clone());
+            // Nobody cancels it; it ends when the worker knows, or time is over.
+            actix_rt::spawn(async move { this.give_up(&forward, None, end).await });
+        }
+        forward.again || calling == Some(true)
+    }
+
     /// Ends a forward here and in the core, unless it has ended already.
     fn end(
         &self,
@@ -393,20 +142,29 @@
     ) {
         {
             let mut out = self.out.borrow_mut();
-            if out.get(reference).is_some_and(|o| o.ticket == ticket) {
+            if out.get(reference).is_some_and(|o| o.forward.ticket == ticket) {
                 out.remove(reference);
             }
         }
         self.flows.ended_with(ticket, outcome, result, load);
     }
 
-    fn is_out(&self, forward: &Forward) -> bool {
-        self.out.borrow().get(&forward.job.reference).is_some_and(|o| o.ticket == forward.ticket)
+    /// Something of a forward, while it is out.
+    fn of<R>(&self, forward: &Forward, read: impl FnOnce(&mut Out) -> R) -> Option<R> {
+        let mut out = self.out.borrow_mut();
+        out.get_mut(&forward.job.reference).filter(|o| o.forward.ticket == forward.ticket).map(read)
     }
 
     fn is_told(&self, forward: &Forward) -> bool {
-        let out = self.out.borrow();
-        out.get(&forward.job.reference).is_some_and(|o| o.ticket == forward.ticket && o.told)
+        self.of(forward, |out| out.told) == Some(true)
+    }
+
+    /// Gives a forward up at its worker, and ends it: as the worker says meanwhile, else with this outcome.
+    async fn give_up(&self, forward: &Forward, closed: Option<Instant>, unless_told: Outcome) {
+        self.call_back(forward, closed).await;
+        let word = self.of(forward, |out| out.word.take()).flatten();
+        let (outcome, load) = word.unwrap_or((unless_told, None));
+        self.end(&forward.job.reference, forward.ticket, outcome, None, load);
     }
 
     /// Tells a worker that a job is given up, until it knows. `closed`: when the connection was ended before the
@@ -417,11 +175,21 @@
         let mut timeouts = 0;
         // After the 202 a worker that is cut off still has the job until it is told: guards against a second
         // copy beside one that nobody could call back.
-        while self.is_out(forward) {
-            let (addr, body) = (forward.addr, Bytes::new());
-            let call = self.client.call(Method::DELETE, addr, &path, &[], body, within, MAX_ANSWER);
+        loop {
+            let (this, copy) = (self.clone(), forward.clone());
+            // One that the worker has ended meanwhile needs no giving up: a call then would meet the next one there.
+            let gate = Gate::new(move || this.of(&copy, |out| !out.is_over()) == Some(true));
+            let over = self.of(forward, |out| {
+                out.giving_up = Some(gate.clone());
+                out.is_over()
+            });
+            if over != Some(false) {
+                break;
+            }
+            let (addr, body, within) = (forward.addr, Bytes::new(), (within, within));
+            let call = self.client.gated(&gate, Method::DELETE, addr, &path, &[], body, within, MAX_ANSWER);
             match call.await {
-                Ok(_) => break,
+                Ok(_) | Err(CallError::Shut) => break,
                 // A process that died, or one that lives and has all the connections it will hold: guards against a
                 // second copy beside one that runs on there. What died with its job is told of as lost.
                 Err(CallError::Refused) if closed.is_none() && !self.flows.is_listed(&forward.name) => break,
@@ -481,10 +249,13 @@
             headers.push(("Idempotency-Key", key));
         }
         let (addr, body, within) = (forward.addr, job.body.whole(), (TAKEN_WITHIN, left));
-        let answer = self.client.post(gate, addr, &job.path, &headers, body, within, MAX_ANSWER).await;
+        let answer =
+            self.client.gated(gate, Method::POST, addr, &job.path, &headers, body, within, MAX_ANSWER).await;
         let load = answer.as_ref().ok().and_then(|answer| answer.load);
         let outcome = match answer {
             Ok(HttpAnswer { status: 202, .. }) => return,
+            // It may be the answer before it, said twice; then the worker has this job.
+            Ok(_) if gate.follows_closely() => return self.give_up(forward, None, Outcome::Fault).await,
             Ok(HttpAnswer { status: 503 | 504, rejected: true, .. }) => Outcome::NoRoom,
             Ok(_) => Outcome::Fault,
             Err(CallError::Refused | CallError::NoConnection(_) | CallError::Unsent) => Outcome::NoRoute,
@@ -495,8 +266,7 @@
             // it is told that the job is given up, and only then the next attempt may go out.
             Err(CallError::Timeout) if self.is_told(forward) => return,
             Err(CallError::Timeout) => {
-                self.call_back(forward, Some(Instant::now())).await;
-                Outcome::Cut
+                return self.give_up(forward, Some(Instant::now()), Outcome::Cut).await;
             }
         };
         self.end(&job.reference, forward.ticket, outcome, None, load);
@@ -508,16 +278,14 @@
         let (this, copy, gate) = (self.clone(), forward.clone(), self.gate(&forward));
         let own = gate.clone();
         let task = actix_rt::spawn(async move { this.post(&copy, &own).await });
-        let out = Out { ticket: forward.ticket, worker: forward.name, task: Some(task), gate, told: false };
-        self.out.borrow_mut().insert(forward.job.reference.clone(), out);
+        let reference = forward.job.reference.clone();
+        let out = Out { forward, task: Some(task), gate, told: false, giving_up: None, word: None };
+        self.out.borrow_mut().insert(reference, out);
     }
 
     fn cancel(&self, forward: Forward) {
-        let (task, gate) = {
-            let mut out = self.out.borrow_mut();
-            let own = out.get_mut(&forward.job.reference).filter(|o| o.ticket == forward.ticket);
-            own.map_or((None, None), |o| (o.task.take(), Some(o.gate.clone())))
-        };
+        let own = self.of(&forward, |out| (out.task.take(), out.gate.clone()));
+        let (task, gate) = own.map_or((None, None), |(task, gate)| (task, Some(gate)));
         let this = self.clone();
         actix_rt::spawn(async move {
             // Before the 202 it is the end of the connection that gives the job up. Only when that is done and
@@ -533,8 +301,7 @@
                     return this.end(&forward.job.reference, forward.ticket, Outcome::Moot, None, None);
                 }
             }
-            this.call_back(&forward, closed).await;
-            this.end(&forward.job.reference, forward.ticket, Outcome::Cancelled, None, None);
+            this.give_up(&forward, closed, Outcome::Cancelled).await;
         });
     }
 
--- a/dispatcher/src/targets/look.rs
+++ b/dispatcher/src/targets/look.rs
@@ -1,7 +1,7 @@
 //! Looks at workers on behalf of the fleet. The fence is read when the connection stands and can be written to, and
 //! the bytes go out in the same step: guards against a wait for a connection between the last look and the write.
 
-use super::http::CallError;
+use super::client::CallError;
 use crate::fleet::Act;
 use crate::stops;
 use bytes::{Bytes, BytesMut};
--- a/dispatcher/src/targets/mod.rs
+++ b/dispatcher/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! The workers' side, a module for each protocol that workers speak.
 
 pub mod beanstalkd;
+pub mod client;
 mod gate;
 pub mod http;
 pub mod load;
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -145,6 +145,17 @@
         !is_it
     }
 
+    /// The next request of a job: probes are answered meanwhile.
+    pub fn next_of_job(&self) -> Seen {
+        loop {
+            let seen = self.next();
+            if !seen.message.first.starts_with("GET ") {
+                return seen;
+            }
+            seen.answer("200 OK");
+        }
+    }
+
     /// Takes a job with 202 and gives its reference.
     pub fn take(&self) -> String {
         let seen = self.next();
