Go on watching until nothing has come for a while, before a large tier's pause

Lists change every 180 ms there (13.58, 13.76, ... 14.67, 14.85 s); n104's watch brought the one of 14.67 s, its pause began, and s-, draining from 14.85 s on, was sent to at 15.49 s; its next list came at 16.82 s. Told at 14.85 s: within 200 ms of the answer. Line: control/src/watch.rs, answered: lists change less often. They need not: periods of 160 and 170 ms are within the given sites as well. A follow-up watch is kept until it is quiet, then dropped unanswered, then the pause begins. Test red without it (4.4 s).

--- a/control/src/watch.rs
+++ b/control/src/watch.rs
@@ -25,6 +25,8 @@
 const CALLS: Millis = 2;
 /// Time that the tier leaves discovery for each dispatcher's calls after news at least: they come in one burst.
 const LEAST: Millis = 10;
+/// What changes so soon behind an answer to a watch counts as told, as if the watch went on.
+const TOLD_BEHIND: Millis = 200;
 
 /// How one dispatcher paces its calls. Spans are in milliseconds.
 #[derive(Debug)]
@@ -82,9 +84,9 @@
     }
 
     /// How long to put off the next call after an answer that came `took` after the call, with news or without: the
-    /// same news went to all, and more of the kind gathers meanwhile. What changes within 200 ms of an answer counts as
-    /// told. That is nothing where the answer followed a change, since lists change less often; but one to a call that
-    /// was put off comes at any time, and then a watch has to go on at once.
+    /// same news went to all, and more of the kind gathers meanwhile. What changes soon behind an answer counts as told: so
+    /// before that, a watch goes on until nothing has come for `quiet`. One to a call that was put off comes at any time,
+    /// and then a watch has to go on at once.
     pub fn answered(&mut self, news: bool, took: Millis) -> Millis {
         if !self.is_spread() {
             return 0;
@@ -103,6 +105,12 @@
         self.rng.random_range(gap / 2..=gap * 3 / 2).min(longest)
     }
 
+    /// How long a watch has to be without news until it may be dropped: what counts as told behind the last answer would
+    /// have come by then, although calls stand in discovery's queue.
+    pub fn quiet(&self) -> Millis {
+        TOLD_BEHIND + self.took * 2
+    }
+
     /// A watch came to no answer; when to ask for the list, unless the module has to say. Whatever the size of the tier,
     /// what a watch missed that fell silent counts as told soon after its wait; and one that was ended holds for a time
     /// from the call that began it, which may be over. So there is one call soon, which does not wait: how that one fails
--- a/dispatcher/src/list.rs
+++ b/dispatcher/src/list.rs
@@ -155,17 +155,25 @@
         // The first call is answered at once, so that the module knows where it stands; the next ones wait.
         // In a large tier that would be one call more of each.
         let mut wait = Duration::from_millis(if pace.is_spread() { pace.wait() } else { 0 });
+        // How long no call is made once the watch has been quiet for a while.
+        let mut rest = None;
         loop {
             let at = *discovery.borrow_and_update();
             if at != asked_at {
                 // Another discovery counts its versions by itself: the whole list is asked for.
-                (asked_at, after, wait) = (at, None, Duration::ZERO);
+                (asked_at, after, wait, rest) = (at, None, Duration::ZERO, None);
             }
             let Some(at) = at else { break };
             let asked = tokio::time::Instant::now();
-            let within = if wait.is_zero() { ANSWER_WITHIN } else { wait + NEWS_WITHIN };
+            let within = match rest {
+                Some(_) => Duration::from_millis(pace.quiet()),
+                None if wait.is_zero() => ANSWER_WITHIN,
+                None => wait + NEWS_WITHIN,
+            };
+            // One that is dropped when it has been quiet must not be answered before.
+            let wait_for = if rest.is_some() { within * 2 } else { wait };
             let answer = tokio::select! {
-                answer = call(&client, at, after, wait, within) => answer,
+                answer = call(&client, at, after, wait_for, within) => answer,
                 // Guards against waiting on a discovery that has been replaced: what the new one has to tell
                 // counts as told soon.
                 Ok(()) = discovery.changed() => continue,
@@ -177,20 +185,27 @@
                     let (version, lines) = (list.version, list.servers.len());
                     debug!(version, lines, full = list.full, took_ms, "discovery: a list came");
                     take(&flows, &mut names, &list, list.kind());
-                    let gap = pace.answered(lines > 0, took_ms);
-                    wait = Duration::from_millis(pace.wait());
+                    if rest.is_none() {
+                        let gap = pace.answered(lines > 0, took_ms);
+                        wait = Duration::from_millis(pace.wait());
+                        rest = Some(gap).filter(|gap| *gap > 0);
+                    }
                     if lines == 0 {
                         tokio::time::sleep_until(asked + LEAST_GAP).await;
                     }
-                    pause(gap, &mut discovery).await;
+                    continue;
+                }
+                Err(NoList::Call(CallError::Timeout)) if rest.is_some() => {
+                    pause(rest.take().unwrap_or(0), &mut discovery).await;
                     continue;
                 }
                 Err(e) => {
                     warn!(discovery = %at, error = %e, took_ms, "discovery: no list came");
+                    let watched = rest.take().is_some() || !wait.is_zero();
                     after = after.filter(|_| !matches!(e, NoList::Unreadable(_)));
                     // The next call does not wait: if it comes to nothing, that is a failure like any other.
                     let silent = matches!(e, NoList::Call(CallError::Timeout));
-                    let soon = if wait.is_zero() { None } else { pace.ended(silent) };
+                    let soon = if watched { pace.ended(silent) } else { None };
                     if let Some(gap) = soon {
                         wait = Duration::ZERO;
                         pause(gap, &mut discovery).await;
--- a/dispatcher/tests/watches.rs
+++ b/dispatcher/tests/watches.rs
@@ -57,3 +57,19 @@
     assert!(since.elapsed() < Duration::from_millis(3000), "{:?}", since.elapsed());
     assert_eq!(rig.served("c1", "quote"), 1);
 }
+
+/// What changes within 200 ms of an answer to a watch counts as told. Seen: lists changed every 180 ms, the tier's pause
+/// began behind one answer, and the worker that drained in the next list was sent to for seconds.
+#[test]
+fn what_changes_right_behind_an_answer_is_heard_of_before_the_tiers_pause() {
+    let settings = SETTINGS.replace(r#""instances": 1"#, r#""instances": 300"#);
+    let rig = Rig::with(2, &settings, None);
+    // The answer to a call that was put off, and the one to the watch behind it.
+    rig.list(&["up", "up"]);
+    rig.list(&["up", "up"]);
+    let since = Instant::now();
+    rig.list(&["draining", "up"]);
+    // The pause would be 1.5 s at least.
+    assert!(since.elapsed() < Duration::from_millis(1000), "{:?}", since.elapsed());
+    assert_eq!(rig.served("c1", "quote"), 1);
+}
