Look once more whether jobs are taken when a passing request's body has come

listeners/pass.rs looked for the stop before the body came, http.rs behind it: a request half read at SIGTERM was sent on when the process was about to end (test red without: 504 after 8 s, where the process would have gone). is_frozen tells what it saw.

--- a/dispatcher/src/listeners/pass.rs
+++ b/dispatcher/src/listeners/pass.rs
@@ -103,7 +103,8 @@
                 Err(status) => return text(status, "no body could be read\n"),
             }
         }
-        if gone(seat.as_deref()) {
+        // Its body may have come when no more is taken: nobody would wait for its answer.
+        if self.phase.is_shut() || gone(seat.as_deref()) {
             return refused(BUSY_RETRY).map_into_boxed_body();
         }
         let method = head.method.clone();
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -457,10 +457,14 @@
     /// Waits until it stands still.
     pub fn is_frozen(&self) {
         let stat = format!("/proc/{}/stat", self.child.id());
-        wait_until("it stands still", || {
-            std::fs::read_to_string(&stat)
-                .is_ok_and(|s| s.rsplit(") ").next().is_some_and(|s| s.starts_with('T')))
-        });
+        let state = || std::fs::read_to_string(&stat).ok()?.rsplit_once(") ")?.1.chars().next();
+        let until = Instant::now() + PATIENCE;
+        while state() != Some('T') {
+            // Z: it has ended; what it said last tells why.
+            let said = || self.log.try_iter().collect::<Vec<_>>().join("\n");
+            assert!(Instant::now() < until, "it does not stand still: {:?}\n{}", state(), said());
+            thread::sleep(Duration::from_millis(1));
+        }
     }
 
     pub fn thaw(&self) {
--- a/dispatcher/tests/stopping.rs
+++ b/dispatcher/tests/stopping.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{wait_until, Client, Rig, Setup};
+use common::{wait_until, Client, Rig, Setup, Worker};
 use rstest::rstest;
 use std::net::TcpListener;
 use std::time::Duration;
@@ -78,6 +78,38 @@
     assert!(rig.ends().success());
 }
 
+/// The same where requests pass to plain workers. Seen: it was looked at before its body came, and sent on when the process
+/// was about to end.
+#[test]
+fn a_request_that_passes_and_is_half_read_at_the_end_is_refused() {
+    let operator = r#"{"workers":[{"kind":"web","protocol":"http"}],
+        "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"web"}],
+        "routes":[{"path":"/web","match":"prefix","class":"page","max_body":1000}]}"#;
+    let workers = [Worker::start("w0"), Worker::start("w1")];
+    let setup = Setup { operator: Some(operator), kind: Some("web"), ..Setup::default() };
+    let listed = workers.iter().map(|w| (w.id.clone(), w.addr)).collect();
+    let mut rig = Rig::set_up(listed, common::SETTINGS, setup);
+    rig.workers = workers.into();
+    // A job that is out keeps the process; the other worker has room.
+    let mut first = rig.connect();
+    first.send("PUT /web/a", "", "payload");
+    let (_, kept) = rig.next();
+    let mut client = rig.connect();
+    client.write(b"PUT /web/b HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 7\r\n\r\npay");
+    rig.turn();
+    rig.terminate();
+    rig.logged("SIGTERM");
+    std::thread::sleep(SHUT);
+    rig.turn();
+    client.write(b"load");
+    rig.turn();
+    assert!(rig.workers.iter().all(|w| w.has_none()));
+    assert_eq!(client.answer().status(), 503);
+    kept.answer("200 OK");
+    assert_eq!(first.answer().status(), 200);
+    assert!(rig.ends().success());
+}
+
 /// Connections at rest end; a request that crosses that end is not read. Its client can send it elsewhere.
 #[test]
 fn a_request_that_crosses_the_end_of_its_connection_is_left_unread() {
