--- a/dispatcher/src/targets/gate.rs
+++ b/dispatcher/src/targets/gate.rs
@@ -76,8 +76,11 @@
     }
 
     fn pass(&self, Gated { stream, heard }: &Gated) -> io::Result<()> {
-        if self.at.get() != At::Waiting {
-            return Ok(());
+        match self.at.get() {
+            At::Waiting => {}
+            At::Open(_) => return Ok(()),
+            // Whoever tries to write again: it stays at that.
+            At::Shut | At::Stale | At::Unsent => return Err(ErrorKind::NotConnected.into()),
         }
         self.closely.set(heard.is_some_and(|heard| heard.elapsed() < SAID_TWICE));
         // Nothing is awaited from here to the write.
