--- a/dispatcher/tests/watches.rs
+++ b/dispatcher/tests/watches.rs
@@ -73,3 +73,20 @@
     assert!(since.elapsed() < Duration::from_millis(1000), "{:?}", since.elapsed());
     assert_eq!(rig.served("c1", "quote"), 1);
 }
+
+/// A new configuration while a call to the old discovery is silent; and another one right behind it.
+#[rstest]
+#[case::alone(1)]
+#[case::many(60)]
+fn a_move_in_the_middle_of_a_silent_call_is_taken_up_at_once(#[case] tier: u32) {
+    let settings = SETTINGS.replace(r#""instances": 1"#, &format!(r#""instances": {tier}"#));
+    let mut rig = Rig::with(2, &settings, None);
+    rig.list(&["up", "up"]);
+    rig.silence_discovery();
+    // The one that is left would say this, too late for the move.
+    let since = Instant::now();
+    rig.move_discovery(&["up", "up"]);
+    rig.move_discovery(&["draining", "up"]);
+    assert!(since.elapsed() < Duration::from_millis(3000), "{:?}", since.elapsed());
+    assert_eq!(rig.served("c1", "quote"), 1);
+}
