--- a/dispatcher/src/facade.rs
+++ b/dispatcher/src/facade.rs
@@ -7,6 +7,7 @@
     Request, RequestId, SettingsError, TenantId, WorkerEntry, WorkerId, ZoneId,
 };
 pub use lineroute::{Discovery, ListKind, Outcome, ReportSource, Settings, Stage};
+use lineroute::{Effect, Rules};
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -151,12 +152,23 @@
     forwards: FxHashMap<FlowId, u32>,
     numbers: FxHashMap<Arc<str>, TargetId>,
     names: Vec<Arc<str>>,
+    /// How long repeats of each class may begin to go out, where that has an end; and the rules.
+    windows: Vec<Option<Duration>>,
+    rules: Rules,
 }
 
 impl Facade {
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
+        let window = |effect| match effect {
+            Effect::ByKey { ttl, .. } => Some(Duration::from_micros(ttl)),
+            Effect::Repeatable | Effect::Once => None,
+        };
+        let windows = settings.classes.iter().map(|c| window(c.effect)).collect();
+        let rules = settings.rules.clone();
         Ok(Facade {
+            windows,
+            rules,
             balancer: Balancer::new(settings, seed)?,
             clock: Clock { origin: Instant::now(), unix },
             actions: Vec::new(),
@@ -167,6 +179,13 @@
         })
     }
 
+    /// Until when a flow of this class may go out again, if a forward of it that was sent then has ended so: `None` where
+    /// that sets no end.
+    pub fn again_until(&self, class: usize, sent: Instant, outcome: Outcome) -> Option<Instant> {
+        let window = self.windows.get(class).copied().flatten()?;
+        (!outcome.never_ran(&self.rules)).then(|| sent + window)
+    }
+
     /// The number of a target by its name, the same for as long as the program runs.
     pub fn target(&mut self, name: &str) -> TargetId {
         if let Some(&id) = self.numbers.get(name) {
--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -82,6 +82,8 @@
     pub job: Rc<Job>,
     /// When the dispatcher stops waiting.
     pub until: Instant,
+    /// Until when its first byte may go out, where an earlier forward may have run: the workers' memory of that one ends.
+    pub start_by: Option<Instant>,
     /// An earlier forward of the flow ended at this target: what is said again of that one looks like this one's.
     pub again: bool,
 }
--- a/dispatcher/src/flow/core.rs
+++ b/dispatcher/src/flow/core.rs
@@ -18,6 +18,8 @@
     pub(super) ask: Option<Ask>,
     pub(super) until: Instant,
     pub(super) out: Option<Out>,
+    /// See `Forward::start_by`.
+    pub(super) start_by: Option<Instant>,
     /// Where forwards of it have ended.
     pub(super) before: Vec<TargetId>,
     /// The answer passes: the flow is bound to the forward that is out. How long its head took.
@@ -131,6 +133,7 @@
             stage: known.stage,
             job: flow.job.clone(),
             until: flow.until,
+            start_by: flow.start_by,
             again: flow.before.contains(&target),
         };
         flow.out = Some(Out { forward: forward.clone(), sent: Instant::now(), cancelling: false });
@@ -160,6 +163,8 @@
         let Some(flow) = self.flows.get_mut(&ticket.flow) else { return Vec::new() };
         let Some(out) = flow.out.take() else { return Vec::new() };
         flow.before.push(out.forward.target);
+        let again_until = self.facade.again_until(flow.job.class, out.sent, outcome);
+        flow.start_by = flow.start_by.or(again_until);
         let left = self.out.entry(out.forward.target).or_default();
         *left = left.saturating_sub(1);
         self.changed.push((out.forward.target, Some(*left)));
--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -118,8 +118,19 @@
             core.deadlines.insert((until, id));
             debug!(flow = id.0, class = ask.class, "flow came");
             let (job, listener, ask) = (Rc::new(job), Some(listener(id)), Some(ask));
-            core.flows
-                .insert(id, Flow { job, listener, ask, until, out: None, before: Vec::new(), bound: None });
+            core.flows.insert(
+                id,
+                Flow {
+                    job,
+                    listener,
+                    ask,
+                    until,
+                    out: None,
+                    start_by: None,
+                    before: Vec::new(),
+                    bound: None,
+                },
+            );
             id
         };
         let witness = self.witness.borrow().clone();
--- a/dispatcher/src/flow/targets.rs
+++ b/dispatcher/src/flow/targets.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Act;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::rc::Rc;
+use std::time::Instant;
 impl Flows {
     /// Has another see to probes.
     pub fn probing(&self, probing: Rc<dyn Probing>) {
@@ -167,8 +168,11 @@
         self.carry_out(effects);
     }
 
-    /// Whether the list still says of the target what it said when the forward was decided.
+    /// Whether the list still says of the target what it said when the forward was decided, and it may still go out.
     pub fn stands(&self, forward: &Forward) -> bool {
+        if forward.start_by.is_some_and(|by| Instant::now() >= by) {
+            return false;
+        }
         self.core.borrow().targets.get(&forward.target).is_some_and(|t| t.stage == forward.stage)
     }
 }
--- a/dispatcher/tests/kept.rs
+++ b/dispatcher/tests/kept.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpListener;
+use std::time::{Duration, Instant};
 
 fn patient() -> String {
     SETTINGS.replace(r#""connect_timeout_ms": 1000"#, r#""connect_timeout_ms": 6000"#)
@@ -27,6 +28,29 @@
     assert!(!matches!(stream.read(&mut [0]), Ok(1)));
 }
 
+/// Workers remember a key for a time. Seen: a repeat was decided within it, its connection came up behind it, and it was
+/// written all the same.
+#[test]
+fn a_repeat_whose_connection_comes_up_too_late_is_not_written() {
+    let mut closed = Closed::start();
+    let settings = patient().replace(r#""key_ttl_ms": 9000"#, r#""key_ttl_ms": 2000"#);
+    let worker = Worker::start("w0");
+    let listed = vec![(worker.id.clone(), worker.addr), ("w1".into(), closed.addr)];
+    let mut rig = Rig::of(listed, &settings, None);
+    rig.workers = vec![worker];
+    rig.list(&["up", "draining"]);
+    let mut client = rig.post("c1", "statement", "Idempotency-Key: k1\r\n");
+    assert_eq!(rig.workers[0].take(), "c1");
+    let since = Instant::now();
+    rig.list(&["draining", "up"]);
+    rig.news(0, "c1", "failed", "");
+    wait_until("the other worker is connected to", || closed.coming() > 0);
+    std::thread::sleep(Duration::from_millis(2100).saturating_sub(since.elapsed()));
+    let mut stream = closed.let_in();
+    assert!(!matches!(stream.read(&mut [0]), Ok(1)));
+    assert!([503, 504].contains(&client.answer().status()));
+}
+
 /// The time that a connection takes to come up is none of the time that a worker has to take a job.
 #[test]
 fn a_late_connection_is_used_and_a_class_that_must_not_be_repeated_is_served_on_it() {
--- a/dispatcher/tests/stopping.rs
+++ b/dispatcher/tests/stopping.rs
@@ -6,6 +6,8 @@
 use common::{wait_until, Client, Rig, Setup, Worker};
 use rstest::rstest;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 const DONE: &str = r#","result":"a chart""#;
@@ -174,8 +176,10 @@
     let mut rig = Rig::start(1);
     rig.list(&["draining"]);
     let addr = rig.addr;
+    let heard = Arc::new(AtomicU32::new(0));
     let going: Vec<_> = (0..8)
         .map(|i| {
+            let heard = heard.clone();
             std::thread::spawn(move || {
                 let (mut whole, mut n) = (0, 0);
                 while let Ok(stream) = std::net::TcpStream::connect(addr) {
@@ -187,6 +191,7 @@
                             Some(_) => whole += 1,
                             None => break,
                         }
+                        heard.fetch_add(u32::from(whole == 1), Ordering::SeqCst);
                     }
                     // What it leaves to the kernel would slow down whoever reads the table of connections.
                     client.reset();
@@ -195,7 +200,7 @@
             })
         })
         .collect();
-    rig.turn();
+    wait_until("each has had an answer", || heard.load(Ordering::SeqCst) == 8);
     rig.terminate();
     assert!(rig.ends().success());
     let whole: Vec<u32> = going.into_iter().map(|g| g.join().expect("a client")).collect();
