--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -137,6 +137,15 @@
         self.seen.try_iter().map(|seen| seen.message.first).collect()
     }
 
+    /// Whether that job is among what has come and was not taken up yet.
+    pub fn was_sent(&self, reference: &str) -> bool {
+        let is_it = |seen: &Seen| {
+            let Message { first, headers, .. } = &seen.message;
+            first.starts_with("POST ") && headers.get("x-call-id").is_some_and(|id| id == reference)
+        };
+        self.seen.try_iter().filter(is_it).count() > 0
+    }
+
     /// Takes what has come, if anything has; true unless it is that job, which is then taken with 202.
     pub fn has_none_for(&self, reference: &str) -> bool {
         let Ok(seen) = self.seen.try_recv() else { return true };
@@ -575,6 +584,12 @@
     )
 }
 
+/// Tries until the stand-ins of a test were in time for what workers have a time for: on a machine with too much to do one
+/// may be told that a job is given up before it has so much as read it. `None`: it was late.
+pub fn in_time(scenario: impl Fn() -> Option<()>) {
+    assert!((0..5).any(|_| scenario().is_some()), "late each time");
+}
+
 /// Waits for what must come.
 pub fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
     let until = Instant::now() + PATIENCE;
