--- a/dispatcher/src/admin/api.rs
+++ b/dispatcher/src/admin/api.rs
@@ -1,5 +1,6 @@
 //! What goes over the admin listener, as JSON: the listener writes it, the command line reads it.
 
+use crate::targets::http::UpdateCounts;
 use lineroute_control::overrides::{Effect, Line, Scope, Standing};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -172,6 +173,9 @@
     pub list: ListLine,
     /// What may be done, and what was done all the same.
     pub permits: PermitCounts,
+    /// Job status updates of the platform's workers.
+    #[serde(default)]
+    pub job_updates: UpdateCounts,
     /// Datagrams of the talk with peers, where it is on.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub peers: Option<PeerCounts>,
--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -9,6 +9,7 @@
 use crate::fleet::api::ReplaceOrder;
 use crate::flow::{Flows, LedgerReport};
 use crate::overrides::{now, Overrides};
+use crate::targets::http::HttpTargets;
 use crate::{fleet, peers, store};
 use actix_http::{Method, StatusCode};
 use lineroute_control::overrides::{Effect, Faulty, Order, Scope, Slot, Stamp};
@@ -29,6 +30,7 @@
     pub dispatcher: String,
     pub classes: Vec<String>,
     pub flows: Flows,
+    pub targets: HttpTargets,
     pub budgets: Budgets,
     pub overrides: Overrides,
     pub peers: Option<peers::Handle>,
@@ -153,6 +155,7 @@
             classes: self.classes.iter().cloned().zip(counted.classes).collect(),
             list: self.list(),
             permits: self.permits(),
+            job_updates: self.targets.update_counts(),
             peers,
         }
     }
--- a/dispatcher/src/admin/console.rs
+++ b/dispatcher/src/admin/console.rs
@@ -12,7 +12,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tracing::info;
@@ -90,18 +90,23 @@
 }
 
 async fn answer(command: Command, calls: &Calls) -> String {
+    let since = Instant::now();
     let done = match &command {
         Command::Health => Ok("serving"),
         Command::Cordon(worker) => calls.cordon(worker),
         Command::Uncordon(worker) => calls.uncordon(worker),
     };
+    let took_ms = since.elapsed().as_millis() as u64;
     match done {
         Ok(words) => {
             if !matches!(command, Command::Health) {
-                info!(?command, answer = words, "admin console");
+                info!(?command, answer = words, took_ms, "admin console");
             }
             format!("OK {words}")
         }
-        Err(reason) => format!("ERR {reason}"),
+        Err(reason) => {
+            info!(?command, %reason, took_ms, "admin console: not done");
+            format!("ERR {reason}")
+        }
     }
 }
--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -273,6 +273,11 @@
         self.core.borrow().flows.values().filter(|f| f.listener.is_some()).count()
     }
 
+    /// Flows with an attempt out.
+    pub fn attempts_out(&self) -> usize {
+        self.core.borrow().flows.values().filter(|f| f.out.is_some()).count()
+    }
+
     /// Flows whose answer is passing.
     pub fn passing(&self) -> usize {
         self.core.borrow().flows.values().filter(|f| f.bound.is_some()).count()
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -70,6 +70,8 @@
 
 /// How long answers that pass may go on once everything else is done; then they are cut short.
 const PASS_ON: Duration = Duration::from_secs(10);
+/// Between two lines of the log on what a stop waits for.
+const REPORT_STOP_EVERY: Duration = Duration::from_millis(500);
 /// Between two looks at what a stop waits for.
 const LOOK_AGAIN: Duration = Duration::from_millis(5);
 /// How long answers that beanstalkd clients have not fetched are kept once everything else is done.
@@ -84,9 +86,14 @@
     let config = read(&sources, Occasion::Start).map_err(|faults| faults.to_string())?;
     let limit = log::start(args.log_format, args.log);
     actix_rt::System::new().block_on(async {
-        // This thread does all of it: whatever is logged is this dispatcher's.
-        let _dispatcher = info_span!("lineroute", dispatcher = %config.name).entered();
+        // This thread does all of it: whatever is logged is this dispatcher's, and this process's: two may run at a time.
+        let process = std::process::id();
+        let _dispatcher = info_span!("lineroute", dispatcher = %config.name, process).entered();
         actix_rt::spawn(log::report(limit));
+        if config.inherited.is_some() || config.admin_console.is_some() {
+            info!(inherited = ?config.inherited, admin_console = ?config.admin_console, state_dir = ?config.state_dir,
+                "process starts, perhaps beside one that it replaces");
+        }
         run(config, sources).await
     })
 }
@@ -139,6 +146,7 @@
 async fn control(
     config: &mut Config,
     flows: &Flows,
+    targets: &HttpTargets,
     budgets: &Budgets,
     reports: &Rc<DiscoveryReports>,
 ) -> Result<Started, String> {
@@ -169,6 +177,7 @@
         dispatcher,
         classes,
         flows,
+        targets: targets.clone(),
         budgets,
         overrides,
         peers: peer,
@@ -251,7 +260,7 @@
         peers::load_gossip::start(peers, flows.clone(), discovery_reports.clone()).await?;
     }
     let Started { reloaded: control, calls } =
-        control(&mut config, &flows, &budgets, &discovery_reports).await?;
+        control(&mut config, &flows, &targets, &budgets, &discovery_reports).await?;
     let fleet = control.fleet.clone();
     let _ = reloaded.set(control);
     let Config { routes, known, .. } = config;
@@ -358,13 +367,16 @@
     async fn stop(self) {
         let Running { flows, phase, front, fleet, serving, slots } = self;
         info!(flows = flows.owed(), "SIGTERM: stopping");
+        let report = actix_rt::spawn(report_stop(flows.clone(), Instant::now()));
         phase.close();
         front.iter().for_each(|f| f.stop());
         tokio::time::sleep(KEEP_TAKING).await;
         phase.shut();
+        info!(flows = flows.owed(), "SIGTERM: new requests are refused from here on");
         while flows.owed() > 0 {
             flows.settled().await;
         }
+        info!("SIGTERM: every request has its answer");
         while_within(KEEP_ANSWERS, || front.as_ref().is_some_and(|f| f.left() > 0)).await;
         while_within(PASS_ON, || flows.passing() > 0).await;
         if flows.passing() > 0 {
@@ -379,6 +391,17 @@
         phase.end();
         let _ = serving.await;
         while_within(LAST_WORDS, || slots.count() > 0).await;
+        report.abort();
+    }
+}
+
+/// Logs what a stopping process still owes, until it is aborted. Nothing is lost then: it only reads.
+async fn report_stop(flows: Flows, since: Instant) {
+    loop {
+        tokio::time::sleep(REPORT_STOP_EVERY).await;
+        let (owed, attempts, after_ms) =
+            (flows.owed(), flows.attempts_out(), since.elapsed().as_millis() as u64);
+        info!(owed, attempts, after_ms, "SIGTERM: still stopping");
     }
 }
 
--- a/dispatcher/src/overrides.rs
+++ b/dispatcher/src/overrides.rs
@@ -16,6 +16,9 @@
 /// With something in force the wall clock is looked at this often: it may be set.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// Workers out of service that a line of the log names at most.
+const NAMES_LOGGED: usize = 8;
+
 /// The wall clock.
 pub fn now() -> Millis {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as Millis
@@ -113,7 +116,16 @@
             return;
         }
         let Forces { weights, out, pins } = &forces;
-        info!(weights = weights.len(), out_of_service = out.len(), pins = pins.len(), "overrides in force");
+        let revision = self.0.table.borrow().revision();
+        let workers: Vec<&str> = out.iter().take(NAMES_LOGGED).map(|worker| &**worker).collect();
+        info!(
+            weights = weights.len(),
+            out_of_service = out.len(),
+            ?workers,
+            pins = pins.len(),
+            revision,
+            "overrides in force"
+        );
         let flows = &self.0.flows;
         let mut steer = Steer {
             weights: weights.iter().map(|(w, factor)| (flows.target(w), *factor)).collect(),
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use lineroute_permit::RetryPermit;
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,6 +61,15 @@
     }
 }
 
+/// Job status updates that workers have sent, since the start.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct UpdateCounts {
+    /// Of an attempt that this process has out.
+    pub taken: u64,
+    /// Of none: sent again, of one that is over, or of another process's.
+    pub unknown: u64,
+}
+
 /// The forwards that are out at such workers, by the reference of their job.
 #[derive(Clone)]
 pub struct HttpTargets {
@@ -70,11 +79,17 @@
     /// Workers report their load: probes ask for it.
     reports: bool,
     out: Rc<RefCell<FxHashMap<String, Out>>>,
+    counts: Rc<RefCell<UpdateCounts>>,
 }
 
 impl HttpTargets {
     pub fn new(flows: Flows, client: HttpClient, connect_within: Duration, reports: bool) -> Self {
-        HttpTargets { flows, client, connect_within, reports, out: Rc::default() }
+        HttpTargets { flows, client, connect_within, reports, out: Rc::default(), counts: Rc::default() }
+    }
+
+    /// Job status updates since the start.
+    pub fn update_counts(&self) -> UpdateCounts {
+        *self.counts.borrow()
     }
 
     /// Takes a worker's call. It may come before the 202, again, or of an attempt that is over: only what
@@ -87,7 +102,17 @@
                 o.forward.clone()
             })
         };
-        let Some(forward) = forward else { return false };
+        let Some(forward) = forward else {
+            debug!(
+                reference = news.id,
+                worker = news.from,
+                state = news.state,
+                "a job status update of no attempt here"
+            );
+            self.counts.borrow_mut().unknown += 1;
+            return false;
+        };
+        self.counts.borrow_mut().taken += 1;
         let ticket = forward.ticket;
         let end = match news.state.as_str() {
             "started" => {
