--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod beanstalkd;
 pub mod discovery;
 pub mod faults;
+pub mod replacement;
 pub mod serving;
 
 use std::collections::HashMap;
@@ -131,6 +132,11 @@
         self.seen.recv_timeout(PATIENCE).expect("the worker is asked for something")
     }
 
+    /// The same; nothing once nobody can come any more.
+    pub fn next_if_any(&self) -> Option<Seen> {
+        self.seen.recv().ok()
+    }
+
     pub fn has_none(&self) -> bool {
         self.seen.try_recv().is_err()
     }
--- /dev/null
+++ b/dispatcher/tests/common/replacement.rs
@@ -0,0 +1,229 @@
+//! One dispatcher whose process is replaced while it serves: processes that inherit one listening socket and share one
+//! `$TMPDIR`, each with an admin console of its own, and workers whose conduct a test chooses.
+
+use super::discovery::{entry, Behaviour, Discovery};
+use super::{folder, wait_until, Client, Rig, Setup, Worker, SETTINGS};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A worker's call is made so often until it is answered, as the platform's page has it, and so long apart.
+const CALLS: usize = 10;
+const BETWEEN_CALLS: Duration = Duration::from_millis(50);
+
+/// What a worker does with jobs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Conduct {
+    /// Hands each one back unstarted.
+    TurnsAway,
+    /// Takes it and says nothing more.
+    Hangs,
+    /// Takes it, and calls back with a result, each call on a connection of its own.
+    Serves,
+}
+
+/// An attempt that came to a worker.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub worker: String,
+    pub reference: String,
+}
+
+/// Workers of one conduct, and what came to them.
+pub struct Workers {
+    pub listed: Vec<(String, SocketAddr)>,
+    conduct: Arc<Mutex<Conduct>>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    given_up: Arc<Mutex<Vec<String>>>,
+}
+
+impl Workers {
+    /// So many workers, `w0` and on, that call back at this address.
+    pub fn start(count: usize, conduct: Conduct, call_back: SocketAddr) -> Workers {
+        let mut workers = Workers {
+            listed: Vec::new(),
+            conduct: Arc::new(Mutex::new(conduct)),
+            arrivals: Arc::default(),
+            given_up: Arc::default(),
+        };
+        for number in 0..count {
+            let worker = Worker::start(&format!("w{number}"));
+            workers.listed.push((worker.id.clone(), worker.addr));
+            let (conduct, arrivals) = (workers.conduct.clone(), workers.arrivals.clone());
+            let given_up = workers.given_up.clone();
+            thread::spawn(move || serve(&worker, &conduct, &arrivals, &given_up, call_back));
+        }
+        workers
+    }
+
+    pub fn conduct(&self, conduct: Conduct) {
+        *self.conduct.lock().expect("a lock") = conduct;
+    }
+
+    /// Attempts that came to a worker from an instant on.
+    pub fn since(&self, worker: &str, from: Instant) -> Vec<Arrival> {
+        let arrivals = self.arrivals.lock().expect("a lock");
+        arrivals.iter().filter(|came| came.worker == worker && came.at >= from).cloned().collect()
+    }
+
+    /// How many attempts have come to all of them.
+    pub fn count(&self) -> usize {
+        self.arrivals.lock().expect("a lock").len()
+    }
+
+    /// The references of jobs that were given up.
+    pub fn given_up(&self) -> Vec<String> {
+        self.given_up.lock().expect("a lock").clone()
+    }
+}
+
+fn serve(
+    worker: &Worker,
+    conduct: &Mutex<Conduct>,
+    arrivals: &Mutex<Vec<Arrival>>,
+    given_up: &Mutex<Vec<String>>,
+    call_back: SocketAddr,
+) {
+    loop {
+        let Some(seen) = worker.next_if_any() else { return };
+        if let Some(path) = seen.message.first.strip_prefix("DELETE /jobs/") {
+            let reference = path.split(' ').next().unwrap_or_default().to_owned();
+            given_up.lock().expect("a lock").push(reference);
+        }
+        if !seen.message.first.starts_with("POST ") {
+            seen.answer("200 OK");
+            continue;
+        }
+        let (at, reference) = (Instant::now(), seen.reference().to_owned());
+        let arrival = Arrival { at, worker: worker.id.clone(), reference: reference.clone() };
+        arrivals.lock().expect("a lock").push(arrival);
+        let conduct = *conduct.lock().expect("a lock");
+        match conduct {
+            Conduct::TurnsAway => seen.answer("503 Service Unavailable\r\nX-Rejected: 1"),
+            Conduct::Hangs => seen.answer("202 Accepted"),
+            Conduct::Serves => {
+                seen.answer("202 Accepted");
+                let from = worker.id.clone();
+                thread::spawn(move || tell_done(call_back, &reference, &from));
+            }
+        }
+    }
+}
+
+/// Calls until the call is answered with 200; how many calls that took, if it came to that.
+pub fn tell_done(to: SocketAddr, reference: &str, from: &str) -> Option<usize> {
+    let body = format!(r#"{{"id":"{reference}","from":"{from}","state":"done","result":"a chart"}}"#);
+    for call in 1..=CALLS {
+        if let Ok(stream) = TcpStream::connect(to) {
+            let mut client = Client::of(stream);
+            client.send("POST /_jobs/news", "", &body);
+            if client.heard().is_some_and(|answer| [200, 204].contains(&answer.status())) {
+                return Some(call);
+            }
+        }
+        thread::sleep(BETWEEN_CALLS);
+    }
+    None
+}
+
+/// A dispatcher: what its processes have in common.
+pub struct Dispatcher {
+    socket: TcpListener,
+    pub discovery: Discovery,
+    pub workers: Workers,
+    name: String,
+    settings: String,
+    pub temporary: PathBuf,
+}
+
+/// One process of it.
+pub struct Process {
+    pub rig: Rig,
+    pub console: SocketAddr,
+}
+
+impl Dispatcher {
+    /// With so many workers, of this conduct, and the usual settings.
+    pub fn new(workers: usize, conduct: Conduct) -> Dispatcher {
+        Dispatcher::with_settings(workers, conduct, SETTINGS)
+    }
+
+    pub fn with_settings(workers: usize, conduct: Conduct, settings: &str) -> Dispatcher {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let workers = Workers::start(workers, conduct, socket.local_addr().expect("an address"));
+        let entries: Vec<String> =
+            workers.listed.iter().map(|(id, addr)| entry(id, *addr, "up", 0)).collect();
+        Dispatcher {
+            socket,
+            discovery: Discovery::start(&entries, Behaviour::Up),
+            workers,
+            name: format!("replaced{}x{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed)),
+            settings: settings.into(),
+            temporary: folder(),
+        }
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.socket.local_addr().expect("an address")
+    }
+
+    /// Starts a process and waits until it says yes.
+    pub fn start(&self) -> Process {
+        let process = self.start_with(Setup::default());
+        process.is_ready();
+        process
+    }
+
+    /// Starts a process; it listens when this returns, and may not say yes yet.
+    pub fn start_with(&self, setup: Setup) -> Process {
+        let console = TcpListener::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
+        let more = format!(r#"{}"admin_addr": "{console}", "name": "{}","#, setup.more, self.name);
+        let mut environment = setup.environment.clone();
+        environment.push(("TMPDIR".into(), self.temporary.to_str().expect("letters").to_owned()));
+        let setup = Setup {
+            more,
+            environment,
+            discovery: Some(self.discovery.addr),
+            inherit: Some(self.socket.try_clone().expect("a socket")),
+            ..setup
+        };
+        let rig = Rig::set_up(self.workers.listed.clone(), &self.settings, setup);
+        Process { rig, console }
+    }
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.temporary);
+    }
+}
+
+impl Process {
+    /// Waits until it says yes.
+    pub fn is_ready(&self) {
+        wait_until("the process says yes", || {
+            call(self.console, "health").is_some_and(|answer| answer.starts_with("OK"))
+        });
+    }
+
+    /// One call at the console, and its answer.
+    pub fn operator(&self, line: &str) -> String {
+        call(self.console, line).expect("an answer")
+    }
+}
+
+/// One call at a console; nothing where nobody listens or the process ends.
+pub fn call(console: SocketAddr, line: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(console).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+    stream.write_all(format!("{line}\n").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    (!answer.is_empty()).then(|| answer.trim_end().to_owned())
+}
