--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -182,7 +182,7 @@
 
     /// Starts a process; it listens when this returns, and may not say yes yet.
     pub fn start_with(&self, setup: Setup) -> Process {
-        let console = TcpListener::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
+        let console = free_port();
         let more = format!(r#"{}"admin_addr": "{console}", "name": "{}","#, setup.more, self.name);
         let mut environment = setup.environment.clone();
         environment.push(("TMPDIR".into(), self.temporary.to_str().expect("letters").to_owned()));
@@ -218,6 +218,11 @@
     }
 }
 
+/// An address at which nobody listens.
+pub fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port")
+}
+
 /// One call at a console; nothing where nobody listens or the process ends.
 pub fn call(console: SocketAddr, line: &str) -> Option<String> {
     let mut stream = TcpStream::connect(console).ok()?;
--- a/dispatcher/tests/replacement.rs
+++ b/dispatcher/tests/replacement.rs
@@ -4,7 +4,8 @@
 mod common;
 
 use common::replacement::{Conduct, Dispatcher, Process, Workers};
-use common::{Client, Setup, SETTINGS};
+use common::{Client, Closed, Rig, Setup, SETTINGS};
+use std::io::Read;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -42,8 +43,12 @@
 
 #[test]
 fn a_cordon_binds_each_process_of_the_dispatcher() {
-    let cases =
-        [answered_by_the_new_process, answered_by_the_old_process, answered_while_the_new_process_starts];
+    let cases = [
+        answered_by_the_new_process,
+        answered_by_the_old_process,
+        answered_while_the_new_process_starts,
+        answered_while_a_connection_comes_up,
+    ];
     let broken: Vec<String> = cases.iter().filter_map(|case| case().err()).collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
@@ -90,3 +95,26 @@
     let _jobs = waiting_jobs(&new, &dispatcher.workers, 16);
     sends_nothing_to_w0(&dispatcher, since, "answered while the new process starts")
 }
+
+/// One process: the attempt was decided before the answer, and its connection comes up behind it.
+fn answered_while_a_connection_comes_up() -> Result<(), String> {
+    let mut closed = Closed::start();
+    let console = common::replacement::free_port();
+    let settings = SETTINGS.replace(r#""connect_timeout_ms": 1000"#, r#""connect_timeout_ms": 6000"#);
+    let more = format!(r#""admin_addr": "{console}", "name": "late{}","#, std::process::id());
+    let temporary = common::folder();
+    let environment = vec![("TMPDIR".into(), temporary.to_str().expect("letters").to_owned())];
+    let setup = Setup { more, environment, ..Setup::default() };
+    let rig = Rig::set_up(vec![("w0".into(), closed.addr)], &settings, setup);
+    let process = Process { rig, console };
+    process.is_ready();
+    let _client = process.rig.post("c1", "order", "");
+    common::wait_until("the worker is connected to", || closed.coming() > 0);
+    assert!(process.operator("cordon w0").starts_with("OK"));
+    let mut stream = closed.let_in();
+    stream.set_read_timeout(Some(WATCHED)).expect("a time-out");
+    match stream.read(&mut [0]) {
+        Ok(1) => Err("answered while a connection comes up: a first byte behind the yes".into()),
+        _ => Ok(()),
+    }
+}
