What an operator is told by one process binds each of them: one log, looked at before each first byte

Change: a log that each process appends to (one write a record, a checksum a line, no lock) and reads; the yes waits for the line to be appended (0.7 s at most, else ERR); each first byte's permit looks at the log first and has a fact of its own, whether operators let the worker serve (refusal WorkerOutOfService, and an audit behind the write). A process that was stopped between looks anew before it writes. Records of this dispatcher's own are kept although the wall clock was set back. Clearing goes by the worker and not by an id that two processes may have given twice. A full or failing TMPDIR no longer stops a start. Not taken: a lock around reading, merging and replacing (a stopped holder delays the other's answer); leases (each stops when the other does).

--- a/control/src/overrides/mod.rs
+++ b/control/src/overrides/mod.rs
@@ -5,12 +5,15 @@
 
 mod clock;
 mod codec;
+mod log;
 mod record;
 mod table;
 
 pub use clock::{Clock, Stamp};
 pub use codec::{decode, encode, Malformed, MAX_RECORD};
+pub use log::{log_line, unhex, LogReader};
 pub use record::{Effect, Name, Record, Scope, Slot, Weight, LONGEST_NAME};
 pub use table::{
-    Faulty, Forces, Line, Merged, Order, Pin, Standing, Table, FUTURE, HARD_LONGEST, KEPT, MAX_SLOTS,
+    record_fingerprint, Faulty, Forces, Line, Merged, Order, Pin, Standing, Table, FUTURE, HARD_LONGEST,
+    KEPT, MAX_SLOTS,
 };
--- a/control/src/overrides/table.rs
+++ b/control/src/overrides/table.rs
@@ -210,9 +210,19 @@
         let Some(stamp) = Stamp::parse(id) else {
             return faulty("id", format!("{id:?} is not the id of an override"));
         };
-        let found = self.prints.values().find(|r| r.stamp == stamp).cloned();
-        let Some(record) = found.filter(|r| r.lasts(now)) else {
-            return faulty("id", format!("no override {id} is known here; it may have ended"));
+        let lasting = self.prints.values().filter(|r| r.stamp == stamp && r.lasts(now));
+        let found: Vec<Arc<Record>> = lasting.cloned().collect();
+        let record = match found.as_slice() {
+            [] => return faulty("id", format!("no override {id} is known here; it may have ended")),
+            [record] => record.clone(),
+            // Two processes of one dispatcher may write in one millisecond.
+            [first, ..] => {
+                let worker = &first.slot.worker;
+                return faulty(
+                    "id",
+                    format!("{id} is the id of several, one on {worker}; set it anew and clear that"),
+                );
+            }
         };
         let top = &self.slots[&record.slot][0];
         if *top != record {
@@ -224,6 +234,24 @@
         self.write(record.slot.clone(), Effect::Clear, record.until, by.into(), why.into(), now)
     }
 
+    /// Ends whatever is in force in a slot, wherever it was set; nothing where nothing is.
+    ///
+    /// # Errors
+    /// Names the field that can't be used; the table is as it was.
+    pub fn clear_slot(
+        &mut self,
+        slot: &Slot,
+        by: &str,
+        why: &str,
+        now: Millis,
+    ) -> Result<Option<Arc<Record>>, Faulty> {
+        self.purge(now);
+        check_name("by", by)?;
+        let top = self.slots.get(slot).and_then(|held| held.first()).filter(|r| r.lasts(now));
+        let Some(until) = top.map(|record| record.until) else { return Ok(None) };
+        self.write(slot.clone(), Effect::Clear, until, by.into(), why.into(), now).map(Some)
+    }
+
     fn write(
         &mut self,
         slot: Slot,
@@ -252,13 +280,19 @@
         Ok(record)
     }
 
-    /// Takes in a record from another dispatcher, or from before a restart.
+    /// Takes in a record from another dispatcher.
     pub fn merge(&mut self, record: Record, now: Millis) -> Merged {
-        self.purge(now);
-        let wall = record.stamp.wall;
-        if wall > now + FUTURE {
+        if record.stamp.wall > now + FUTURE {
             return Merged::Future;
         }
+        self.restore(record, now)
+    }
+
+    /// Takes in a record of this dispatcher's own: from before a restart, or from another process of it. It is on this machine
+    /// that it was written, so one that seems to come from the future says that the clock was set back since.
+    pub fn restore(&mut self, record: Record, now: Millis) -> Merged {
+        self.purge(now);
+        let wall = record.stamp.wall;
         if wall + KEPT <= now || record.until > wall.saturating_add(HARD_LONGEST + FUTURE) {
             return Merged::Stale;
         }
@@ -284,10 +318,10 @@
         held.insert(at, record.clone());
         let cleared = held.iter().position(|r| r.effect == Effect::Clear).map_or(usize::MAX, |at| at + 1);
         for gone in held.split_off(cleared.min(MAX_IN_SLOT).min(held.len())) {
-            self.prints.remove(&print(&gone));
+            self.prints.remove(&record_fingerprint(&gone));
         }
         self.oldest = self.oldest.min(record.stamp.wall);
-        self.prints.insert(print(&record), record);
+        self.prints.insert(record_fingerprint(&record), record);
         self.revision += 1;
         true
     }
@@ -382,7 +416,8 @@
     }
 }
 
-fn print(record: &Record) -> u64 {
+/// The digest of a record by which [`Table::prints`] has it.
+pub fn record_fingerprint(record: &Record) -> u64 {
     fingerprint(&encode(record))
 }
 
--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -21,6 +21,9 @@
 /// How long an answer waits for the disk.
 const SAVED_WITHIN: Duration = Duration::from_secs(2);
 
+/// How long an answer at the console waits until what it says holds in each process: answers are owed within 1 s.
+const HOLDS_WITHIN: Duration = Duration::from_millis(700);
+
 /// Who has set an override that came over the admin console. It is kept with the override and shown to operators, so it
 /// stays what it was.
 const CONSOLE_AUTHOR: &str = "door";
@@ -74,6 +77,7 @@
 
 impl Calls {
     pub async fn answer(&self, method: &Method, path: &str, body: &[u8]) -> Reply {
+        self.flows.refresh_operator_state();
         let id = path.strip_prefix("/overrides/").map(unescape);
         match (path, method, id) {
             ("/workers", &Method::GET, _) => json(StatusCode::OK, &self.workers()),
@@ -225,50 +229,58 @@
     /// the same that `/overrides` sets. A worker that is out already stays so, untouched.
     ///
     /// # Errors
-    /// No list has named the worker, or the override can't be set.
-    pub fn cordon(&self, worker: &str) -> Result<&'static str, String> {
-        if !self.cordons(worker).is_empty() {
-            return Ok("cordoned already");
-        }
-        if !self.flows.was_listed(worker) {
-            return Err(format!("no worker {worker} was ever listed"));
-        }
-        let slot = Slot { worker: worker.into(), scope: Scope::OutOfService };
-        let until = now() + self.longest;
-        let order = Order { slot, weight: None, until, by: CONSOLE_AUTHOR.into(), why: "cordon".into() };
-        // In force at once; the snapshot follows on its own, and the answer does not wait for the disk.
-        self.overrides.set(order).map_err(|faulty| faulty.to_string())?;
-        Ok("cordoned")
+    /// No list has named the worker, the override can't be set, or it can't be said that it holds in each process of this
+    /// dispatcher.
+    pub async fn cordon(&self, worker: &str) -> Result<&'static str, String> {
+        self.flows.refresh_operator_state();
+        let slot = out_of_service(worker);
+        let done = if self.is_cordoned(&slot) {
+            "cordoned already"
+        } else {
+            if !self.flows.was_listed(worker) {
+                return Err(format!("no worker {worker} was ever listed"));
+            }
+            let until = now() + self.longest;
+            let order = Order { slot, weight: None, until, by: CONSOLE_AUTHOR.into(), why: "cordon".into() };
+            self.overrides.set(order).map_err(|faulty| faulty.to_string())?;
+            "cordoned"
+        };
+        self.holds_everywhere().await?;
+        Ok(done)
     }
 
     /// Lets a cordoned worker serve again; one that is not out is left so.
     ///
     /// # Errors
-    /// No list has named the worker and no override holds it.
-    pub fn uncordon(&self, worker: &str) -> Result<&'static str, String> {
-        let stamps = self.cordons(worker);
-        if stamps.is_empty() {
-            return match self.flows.was_listed(worker) {
-                true => Ok("not cordoned"),
-                false => Err(format!("no worker {worker} was ever listed")),
-            };
-        }
-        for stamp in stamps {
-            self.overrides.clear(&stamp, CONSOLE_AUTHOR, "uncordon").map_err(|faulty| faulty.to_string())?;
-        }
-        Ok("uncordoned")
+    /// No list has named the worker and no override holds it, or it can't be said that it may serve for each process of this
+    /// dispatcher.
+    pub async fn uncordon(&self, worker: &str) -> Result<&'static str, String> {
+        self.flows.refresh_operator_state();
+        let cleared = self.overrides.clear_slot(&out_of_service(worker), CONSOLE_AUTHOR, "uncordon");
+        let done = match cleared.map_err(|faulty| faulty.to_string())? {
+            Some(_) => "uncordoned",
+            None if self.flows.was_listed(worker) => "not cordoned",
+            None => return Err(format!("no worker {worker} was ever listed")),
+        };
+        self.holds_everywhere().await?;
+        Ok(done)
     }
 
-    /// The ids of the out-of-service overrides in force on a worker.
-    fn cordons(&self, worker: &str) -> Vec<String> {
+    fn is_cordoned(&self, slot: &Slot) -> bool {
         let lines = self.overrides.lines();
-        let mine = lines.into_iter().filter(|line| {
-            let slot = &line.record.slot;
-            *slot.worker == *worker
-                && slot.scope == Scope::OutOfService
-                && line.record.effect == Effect::Set(None)
-        });
-        mine.map(|line| line.record.stamp.to_string()).collect()
+        lines.iter().any(|line| line.record.slot == *slot && line.record.effect == Effect::Set(None))
+    }
+
+    /// Waits until what is in force here binds each process of this dispatcher.
+    async fn holds_everywhere(&self) -> Result<(), String> {
+        let Some(store) = &self.store else { return Ok(()) };
+        let revision = self.overrides.with(|table| table.revision());
+        match store.is_appended(revision, HOLDS_WITHIN).await {
+            true => Ok(()),
+            false => {
+                Err("in force in this process, but not written down: another process may not know".into())
+            }
+        }
     }
 
     /// Waits until what has just been written is on the disk too.
@@ -278,6 +290,11 @@
     }
 }
 
+/// Where an operator takes a worker out.
+fn out_of_service(worker: &str) -> Slot {
+    Slot { worker: worker.into(), scope: Scope::OutOfService }
+}
+
 /// Undoes the percent-encoding of a path's last part.
 fn unescape(text: &str) -> String {
     percent_encoding::percent_decode_str(text).decode_utf8_lossy().into_owned()
--- a/dispatcher/src/admin/console.rs
+++ b/dispatcher/src/admin/console.rs
@@ -93,8 +93,8 @@
     let since = Instant::now();
     let done = match &command {
         Command::Health => Ok("serving"),
-        Command::Cordon(worker) => calls.cordon(worker),
-        Command::Uncordon(worker) => calls.uncordon(worker),
+        Command::Cordon(worker) => calls.cordon(worker).await,
+        Command::Uncordon(worker) => calls.uncordon(worker).await,
     };
     let took_ms = since.elapsed().as_millis() as u64;
     match done {
--- a/dispatcher/src/cli/check.rs
+++ b/dispatcher/src/cli/check.rs
@@ -62,6 +62,6 @@
             "others": p.others.iter().map(|o| o.to_string()).collect::<Vec<_>>()})),
         "overrides": {"longest": humantime::format_duration(
             std::time::Duration::from_millis(config.longest)).to_string()},
-        "state_dir": config.state_dir,
+        "state_dir": config.state_dir.as_ref().map(|dir| dir.path()),
     })
 }
--- a/dispatcher/src/config/checked.rs
+++ b/dispatcher/src/config/checked.rs
@@ -10,7 +10,7 @@
 use lineroute_stream::PaceLimits;
 use serde::Serialize;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// The beanstalkd front, checked.
@@ -113,7 +113,25 @@
     pub fleet: Option<Fleet>,
     /// The longest that an override may last, in milliseconds.
     pub longest: u64,
-    pub state_dir: Option<PathBuf>,
+    pub state_dir: Option<StateDir>,
+}
+
+/// Where overrides are kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StateDir {
+    /// A folder that the operator's file names: without it the process does not start.
+    Named(PathBuf),
+    /// A folder below `$TMPDIR`, which the processes of a dispatcher share: it may be full or fail, and the process serves on.
+    Temporary(PathBuf),
+}
+
+impl StateDir {
+    /// The folder.
+    pub fn path(&self) -> &Path {
+        match self {
+            StateDir::Named(path) | StateDir::Temporary(path) => path,
+        }
+    }
 }
 
 /// Where the admin listener is.
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -7,7 +7,7 @@
 
 pub use checked::{
     Admin, AdminAddr, BeanstalkdFront, BeanstalkdWorkers, Config, Fleet, HttpWorkers, LoadGossipPeers,
-    PassingRoute, Peers, Route, TestClock, Tube,
+    PassingRoute, Peers, Route, StateDir, TestClock, Tube,
 };
 pub use faults::{read_json, Faults};
 pub use operator::{Matching, Operator, Protocol, RawAdmin, RawFront, RawPeers, RawRoute, RawWorkers};
@@ -204,11 +204,12 @@
     let state_dir = state_dir(operator.state_dir.as_deref(), faults);
     // Cordons set over the admin console outlive a replacement of the process: they pass through `$TMPDIR`.
     let state_dir = match (state_dir, admin_console.flatten()) {
+        (Some(path), _) => Some(StateDir::Named(path)),
         (None, Some(_)) => {
             let tmp = variable("TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from);
-            Some(tmp.join(format!("lineroute-{name}")))
+            Some(StateDir::Temporary(tmp.join(format!("lineroute-{name}"))))
         }
-        (state_dir, _) => state_dir,
+        (None, None) => None,
     };
     let peers = operator.peers.as_ref().and_then(|p| peers(p, &raw, site.as_ref(), faults));
     let load_gossip =
--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -113,6 +113,13 @@
     fn ask(&self, flow: FlowId) -> bool;
 }
 
+/// Where operators' words are kept that reach this dispatcher by whichever of its processes.
+pub trait OperatorStateSource {
+    /// Brings what operators have set up to date; `Flows::steer` is called where that has changed. Called in the step that
+    /// writes a first byte: it must not wait.
+    fn refresh(&self);
+}
+
 /// What peers tell of a target: their forwards there, and whether it has just refused one.
 #[derive(Clone, Copy, Debug)]
 pub struct Others {
--- a/dispatcher/src/flow/core.rs
+++ b/dispatcher/src/flow/core.rs
@@ -80,6 +80,8 @@
     /// Whether the module takes the list for valid.
     pub(super) list_heeded: bool,
     pub(super) ledger: Ledger,
+    /// Workers that operators have taken out, and since when this process knows.
+    pub(super) out_of_service: FxHashMap<TargetId, Instant>,
 }
 
 impl Core {
--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -42,6 +42,7 @@
     targets: Rc<RefCell<Vec<Rc<dyn Target>>>>,
     observer: Rc<RefCell<Option<Rc<dyn ForwardObserver>>>>,
     probing: Rc<RefCell<Option<Rc<dyn Probing>>>>,
+    operator_state: Rc<RefCell<Option<Rc<dyn OperatorStateSource>>>>,
     timer: Rc<Notify>,
     watch: Rc<Notify>,
     settled: Rc<Notify>,
@@ -64,12 +65,14 @@
             list,
             list_heeded: true,
             ledger: Ledger::default(),
+            out_of_service: FxHashMap::default(),
         };
         Flows {
             core: Rc::new(RefCell::new(core)),
             targets: Rc::default(),
             observer: Rc::default(),
             probing: Rc::default(),
+            operator_state: Rc::default(),
             timer: Rc::default(),
             watch: Rc::default(),
             settled: Rc::default(),
--- a/dispatcher/src/flow/permits.rs
+++ b/dispatcher/src/flow/permits.rs
@@ -10,8 +10,8 @@
 use lineroute_control::list_status::ListState;
 use lineroute_permit::audit::SendAudit;
 use lineroute_permit::{
-    AttemptState, ClientState, CloseFacts, ClosePermit, ListValidity, SendFacts, SendPermit, SendRefusal,
-    StartFacts, StartPermit, StartRefusal, Violation, WorkerFacts, WorkerStage,
+    AttemptState, ClientState, CloseFacts, ClosePermit, ListValidity, OperatorState, SendFacts, SendPermit,
+    SendRefusal, StartFacts, StartPermit, StartRefusal, Violation, WorkerFacts, WorkerStage,
 };
 use std::time::{Duration, Instant};
 use tracing::debug;
@@ -44,7 +44,14 @@
         SendFacts {
             now,
             list: list_validity(self.list.state()),
-            worker: WorkerFacts { stage, decided_at: worker_stage(forward.stage) },
+            worker: WorkerFacts {
+                stage,
+                decided_at: worker_stage(forward.stage),
+                operators: match self.out_of_service.contains_key(&forward.target) {
+                    true => OperatorState::OutOfService,
+                    false => OperatorState::InService,
+                },
+            },
             attempt: if is_out { AttemptState::Out } else { AttemptState::Over },
             client: if waits { ClientState::Waiting } else { ClientState::Gone },
             deadline: forward.until,
@@ -60,6 +67,7 @@
             now,
             list_valid: self.list.was_valid_lately(),
             unready: unready.zip(self.bounds.drain_grace),
+            out_of_service: self.out_of_service.get(&forward.target).copied(),
             client_gone: flow.and_then(|f| f.left_at),
             deadline: forward.until,
             repeat_until: forward.start_by,
@@ -77,6 +85,8 @@
         forward: &Forward,
         passed_on: Option<Duration>,
     ) -> Result<SendPermit, SendRefusal> {
+        // What operators have told another process of this dispatcher is a fact as well.
+        self.refresh_operator_state();
         let permit = {
             let core = &mut *self.core.borrow_mut();
             let permit = core.send_facts(forward, passed_on, Instant::now()).permit();
--- a/dispatcher/src/flow/targets.rs
+++ b/dispatcher/src/flow/targets.rs
@@ -1,7 +1,7 @@
 //! What the core knows of targets: the list, what peers and operators say of them, and who probes them.
 
 use super::core::{Effect, Known};
-use super::{Entry, Flows, Forward, ListKind, Others, Seen};
+use super::{Entry, Flows, Forward, ListKind, OperatorStateSource, Others, Seen};
 use crate::facade::{Load, News, Outcome, Stage, Steer, TargetId};
 use crate::fleet::prober::Probing;
 use crate::fleet::FencedOperation;
@@ -99,9 +99,28 @@
 
     /// What operators have set, all of it.
     pub fn steer(&self, steer: Steer) {
+        {
+            let core = &mut *self.core.borrow_mut();
+            let now = Instant::now();
+            let since = |target| (target, core.out_of_service.get(&target).copied().unwrap_or(now));
+            core.out_of_service = steer.barred.iter().copied().map(since).collect();
+        }
         self.report(News::Steer(steer));
     }
 
+    /// Has what operators set brought up to date by this source before each first byte.
+    pub fn heed_operators(&self, source: Rc<dyn OperatorStateSource>) {
+        *self.operator_state.borrow_mut() = Some(source);
+    }
+
+    /// Brings what operators have set up to date.
+    pub fn refresh_operator_state(&self) {
+        let source = self.operator_state.borrow().clone();
+        if let Some(source) = source {
+            source.refresh();
+        }
+    }
+
     /// Whether the list names a target that has not left.
     pub fn is_listed(&self, name: &str) -> bool {
         let core = self.core.borrow();
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -26,7 +26,7 @@
 use arrival::ArrivalClock;
 use body::Budgets;
 use cli::RunArgs;
-use config::{Config, Faults, Occasion, Sources};
+use config::{Config, Faults, Occasion, Sources, StateDir};
 use facade::{Discovery, Facade, ListKind, ReportSource};
 use flow::{Bounds, Flows};
 use lineroute_control::list_status::ListStatus;
@@ -46,7 +46,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use store::Store;
+use store::{LoggedOperatorState, Store};
 use targets::beanstalkd::BeanstalkdTargets;
 use targets::client::HttpClient;
 use targets::http::HttpTargets;
@@ -160,13 +160,21 @@
         return Ok(Started { reloaded: Reloaded { fleet, ..Reloaded::default() }, calls: None });
     }
     let mut table = Table::new(&config.name, config.longest);
-    let store = config.state_dir.as_deref().map(Store::open).transpose()?;
+    let store = match &config.state_dir {
+        Some(StateDir::Named(dir)) => Some(Store::open(dir)?),
+        Some(StateDir::Temporary(dir)) => Some(Store::open_later(dir)),
+        None => None,
+    };
     if let Some(store) = &store {
         store.load(&mut table);
     }
     let overrides = Overrides::new(table, flows.clone(), classes.clone(), tenants);
     actix_rt::spawn(overrides.clone().run());
-    let store = store.map(|store| store.start(overrides.clone()));
+    let store = store.map(|store| {
+        let handle = store.start(overrides.clone());
+        flows.heed_operators(Rc::new(LoggedOperatorState { store, overrides: overrides.clone() }));
+        handle
+    });
     let peers = match config.peers.take() {
         Some(peers) => Some(peers::start(peers, overrides.clone(), reports.clone()).await?),
         None => None,
--- a/dispatcher/src/overrides.rs
+++ b/dispatcher/src/overrides.rs
@@ -4,7 +4,7 @@
 
 use crate::facade::{Pinned, Steer};
 use crate::flow::Flows;
-use lineroute_control::overrides::{Faulty, Forces, Line, Order, Record, Table};
+use lineroute_control::overrides::{Faulty, Forces, Line, Order, Record, Slot, Table};
 use lineroute_control::Millis;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -83,6 +83,18 @@
         Ok(record)
     }
 
+    /// Ends whatever is in force in a slot; nothing where nothing is.
+    ///
+    /// # Errors
+    /// Names the field that can't be used; nothing has changed then.
+    pub fn clear_slot(&self, slot: &Slot, by: &str, why: &str) -> Result<Option<Arc<Record>>, Faulty> {
+        let record = self.0.table.borrow_mut().clear_slot(slot, by, why, now())?;
+        if let Some(record) = &record {
+            self.wrote(record, "override cleared");
+        }
+        Ok(record)
+    }
+
     fn wrote(&self, record: &Arc<Record>, words: &'static str) {
         let Record { stamp, slot, until, by, why, .. } = &**record;
         info!(id = %stamp, target = %slot.worker, what = %record, until, by = %by, why = %why, "{words}");
--- /dev/null
+++ b/dispatcher/src/store/snapshot.rs
@@ -0,0 +1,88 @@
+//! The snapshot of overrides that releases before the log kept, `overrides.snapshot`: read once at a start, so that what they
+//! held goes on. The first line names the form and the BLAKE3 hash of all that follows; then comes a record a line.
+
+use lineroute_control::overrides::{decode, unhex, Record};
+use std::fs;
+use std::io;
+use std::path::Path;
+use tracing::error;
+
+const NAME: &str = "overrides.snapshot";
+const BAD: &str = "overrides.bad";
+const FORM: &str = "lineroute-overrides 1";
+/// A snapshot is no larger than this: the table is bounded.
+const MAX_BYTES: u64 = 16 << 20;
+
+/// The records of a snapshot in this folder. One that can't be read whole is set aside and told of; it never stops the start.
+pub fn load(dir: &Path) -> Vec<Record> {
+    let path = dir.join(NAME);
+    match read(&path) {
+        Ok(records) => records,
+        Err(reason) => {
+            let aside = dir.join(BAD);
+            let moved = fs::rename(&path, &aside);
+            error!(reason, file = %path.display(), aside = %aside.display(), moved = moved.is_ok(),
+                "the snapshot of overrides can't be used and is set aside");
+            Vec::new()
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<Vec<Record>, String> {
+    match fs::metadata(path) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
+        Ok(file) if file.len() > MAX_BYTES => return Err(format!("{} bytes are too many", file.len())),
+        _ => {}
+    }
+    let text = fs::read_to_string(path).map_err(|e| e.to_string())?;
+    let (head, body) = text.split_once('\n').ok_or("the first line is missing")?;
+    let hash = head.strip_prefix(FORM).ok_or("the first line is not of this form")?.trim();
+    if blake3::hash(body.as_bytes()).to_hex().as_str() != hash {
+        return Err("the checksum is wrong: it was cut short or changed".into());
+    }
+    let record = |line: &str| decode(&unhex(line)?).ok();
+    let lines = body.lines();
+    lines.map(|line| record(line).ok_or(format!("a line is no record: {line:.20}"))).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::tests::{folder, records};
+    use super::*;
+    use lineroute_control::overrides::encode;
+    use rstest::rstest;
+
+    /// A snapshot as the releases before wrote it.
+    fn text(records: &[Record]) -> String {
+        let hex = |bytes: Vec<u8>| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+        let body: String = records.iter().map(|record| hex(encode(record)) + "\n").collect();
+        format!("{FORM} {}\n{body}", blake3::hash(body.as_bytes()).to_hex())
+    }
+
+    #[test]
+    fn what_an_earlier_release_wrote_is_read_back() {
+        let dir = folder("snapshot");
+        fs::create_dir_all(&dir).expect("a folder");
+        assert!(load(&dir).is_empty(), "nothing was written yet");
+        let records = records(2);
+        fs::write(dir.join(NAME), text(&records)).expect("a file");
+        assert_eq!(load(&dir), records);
+        let _ = fs::remove_dir_all(dir);
+    }
+
+    #[rstest]
+    #[case::cut(|text: &str| text[..text.len() - 20].into())]
+    #[case::cut_at_a_line(|text: &str| text.lines().take(2).collect::<Vec<_>>().join("\n") + "\n")]
+    #[case::changed(|text: &str| text.replacen("77", "78", 1))]
+    #[case::empty(|_: &str| String::new())]
+    #[case::of_another_form(|text: &str| text.replacen("overrides 1", "overrides 9", 1))]
+    #[case::no_text(|_: &str| "\u{0}".repeat(100))]
+    fn a_torn_or_corrupt_snapshot_is_set_aside(#[case] spoil: fn(&str) -> String) {
+        let dir = folder(&format!("torn-{:?}", std::thread::current().id()));
+        fs::create_dir_all(&dir).expect("a folder");
+        fs::write(dir.join(NAME), spoil(&text(&records(2)))).expect("a file");
+        assert!(load(&dir).is_empty());
+        assert!(dir.join(BAD).exists() && !dir.join(NAME).exists());
+        let _ = fs::remove_dir_all(dir);
+    }
+}
--- /dev/null
+++ b/dispatcher/src/store/tests.rs
@@ -0,0 +1,115 @@
+//! The log on a disk: what was appended is read back, by whichever process.
+
+use super::log_file::LogFile;
+use super::*;
+use lineroute_control::overrides::{Order, Scope, Slot};
+use std::fs::{self, OpenOptions};
+use std::io::Write;
+
+/// A folder that is not there.
+pub fn folder(name: &str) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("lineroute-store-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&dir);
+    dir
+}
+
+/// Cordons of so many workers.
+pub fn records(count: usize) -> Vec<Record> {
+    let mut table = Table::new("n1", 3_600_000);
+    let set = |number| {
+        let slot = Slot { worker: format!("w{number}").as_str().into(), scope: Scope::OutOfService };
+        let order = Order { slot, weight: None, until: now() + 60_000, by: "ama".into(), why: "test".into() };
+        (*table.set(order, now()).expect("set")).clone()
+    };
+    (0..count).map(set).collect()
+}
+
+fn read_back(dir: &Path) -> Table {
+    let mut table = Table::new("n1", 3_600_000);
+    Store::open(dir).expect("a folder").load(&mut table);
+    table
+}
+
+fn workers_out(table: &Table) -> Vec<String> {
+    table.forces(now()).out.iter().map(|worker| worker.to_string()).collect()
+}
+
+#[test]
+fn what_was_appended_is_read_back() {
+    let dir = folder("back");
+    assert!(read_back(&dir).prints().is_empty(), "nothing was written yet");
+    LogFile::open(&dir).expect("a log").appender().append(&records(2)).expect("appended");
+    assert_eq!(workers_out(&read_back(&dir)), ["w0", "w1"]);
+    let _ = fs::remove_dir_all(dir);
+}
+
+/// Two processes have it open: each sees what the other has appended, and only that.
+#[test]
+fn each_sees_what_the_other_has_appended() {
+    let dir = folder("both");
+    let (mut one, mut other) = (LogFile::open(&dir).expect("a log"), LogFile::open(&dir).expect("a log"));
+    let records = records(3);
+    one.appender().append(&records[..1]).expect("appended");
+    assert_eq!(other.read_new().expect("read"), records[..1]);
+    other.appender().append(&records[1..]).expect("appended");
+    assert_eq!(other.read_new().expect("read"), records[1..]);
+    assert_eq!(one.read_new().expect("read"), records);
+    assert_eq!(one.read_new().expect("read"), []);
+    let _ = fs::remove_dir_all(dir);
+}
+
+/// A kill tore the last line: the others stand, and so does what is appended behind it.
+#[test]
+fn a_torn_line_costs_no_other() {
+    let dir = folder("torn-line");
+    let records = records(3);
+    LogFile::open(&dir).expect("a log").appender().append(&records[..2]).expect("appended");
+    let path = dir.join("overrides.log");
+    let size = fs::metadata(&path).expect("a file").len();
+    OpenOptions::new().write(true).open(&path).and_then(|file| file.set_len(size - 9)).expect("it is cut");
+    let mut log = LogFile::open(&dir).expect("a log");
+    assert_eq!(log.read_new().expect("read"), records[..1]);
+    log.appender().append(&records[2..]).expect("appended");
+    assert_eq!(log.read_new().expect("read"), records[2..]);
+    assert_eq!(log.malformed(), 1);
+    let _ = fs::remove_dir_all(dir);
+}
+
+#[test]
+fn what_is_no_text_is_passed_over() {
+    let dir = folder("no-text");
+    let records = records(1);
+    LogFile::open(&dir).expect("a log").appender().append(&records).expect("appended");
+    let mut file = OpenOptions::new().append(true).open(dir.join("overrides.log")).expect("a file");
+    file.write_all(&[0, 255, b'\n', 7]).expect("written");
+    let mut log = LogFile::open(&dir).expect("a log");
+    assert_eq!(log.read_new().expect("read"), records);
+    let _ = fs::remove_dir_all(dir);
+}
+
+/// It is replaced by a shorter one only where no other process has it open, and has read all of it.
+#[test]
+fn a_log_is_replaced_by_whoever_has_it_alone() {
+    let dir = folder("compact");
+    let records = records(4);
+    let mut one = LogFile::open(&dir).expect("a log");
+    one.appender().append(&records).expect("appended");
+    assert!(!one.compactor().compact(&records[..1]).expect("tried"), "what was appended was not read");
+    one.read_new().expect("read");
+    let other = LogFile::open(&dir).expect("a log");
+    assert!(!one.compactor().compact(&records[..1]).expect("tried"), "another process has it open");
+    drop(other);
+    assert!(one.compactor().compact(&records[..1]).expect("replaced"));
+    assert!(one.read_new().is_err(), "it has to be opened anew");
+    let mut anew = LogFile::open(&dir).expect("a log");
+    assert_eq!(anew.read_new().expect("read"), records[..1]);
+    let _ = fs::remove_dir_all(dir);
+}
+
+#[test]
+fn a_folder_that_cannot_be_used_is_named() {
+    let dir = folder("file");
+    fs::write(&dir, "a file").expect("a file");
+    assert!(Store::open(&dir).err().expect("no folder").contains("state_dir"));
+    let _ = fs::remove_file(dir);
+}
--- a/permit/src/audit.rs
+++ b/permit/src/audit.rs
@@ -15,6 +15,8 @@
 pub enum Violation {
     /// A first byte to a worker that this process had long known to drain or to be gone.
     DrainedWorker,
+    /// A first byte to a worker that an operator had taken out before.
+    WorkerOutOfService,
     /// A first byte by a list that was not valid.
     InvalidList,
     /// A first byte for a client that had gone.
@@ -40,6 +42,8 @@
     pub list_valid: bool,
     /// Since when the list has had the worker as draining or gone, and how long sends may go on then.
     pub unready: Option<(Instant, Duration)>,
+    /// Since when this process knows that an operator has taken the worker out.
+    pub out_of_service: Option<Instant>,
     /// Since when the client is gone.
     pub client_gone: Option<Instant>,
     /// When the dispatcher stops waiting.
@@ -59,6 +63,10 @@
         let left = self.deadline.saturating_duration_since(self.now);
         let found = [
             (self.unready.is_some_and(|(since, grace)| late(since, grace)), Violation::DrainedWorker),
+            (
+                self.out_of_service.is_some_and(|since| late(since, HELD_UP_SLACK)),
+                Violation::WorkerOutOfService,
+            ),
             (!self.list_valid, Violation::InvalidList),
             (self.client_gone.is_some_and(|since| late(since, CLIENT_GONE_SLACK)), Violation::ClientGone),
             (late(self.deadline, HELD_UP_SLACK), Violation::DeadlineOver),
--- a/permit/src/lib.rs
+++ b/permit/src/lib.rs
@@ -28,7 +28,7 @@
 pub use close::{CloseFacts, ClosePermit, CloseReason, CloseRefusal, ConnectionState};
 pub use retry::{EarlierAttempts, RetryFacts, RetryPermit, RetryRefusal, SideEffect};
 pub use send::{
-    AttemptState, ClientState, ListValidity, SendFacts, SendPermit, SendRefusal, WorkerFacts, WorkerStage,
-    HOLD_UP,
+    AttemptState, ClientState, ListValidity, OperatorState, SendFacts, SendPermit, SendRefusal, WorkerFacts,
+    WorkerStage, HOLD_UP,
 };
 pub use start::{ProcessState, StartFacts, StartPermit, StartRefusal};
--- a/permit/src/send.rs
+++ b/permit/src/send.rs
@@ -34,13 +34,24 @@
     Gone,
 }
 
-/// What the list says of a worker.
+/// Whether operators let a worker serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperatorState {
+    /// They do.
+    InService,
+    /// One has taken it out of service.
+    OutOfService,
+}
+
+/// What the list and operators say of a worker.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerFacts {
-    /// What it says now; `None`: it never named the worker.
+    /// What the list says now; `None`: it never named the worker.
     pub stage: Option<WorkerStage>,
     /// What it said when the attempt was decided.
     pub decided_at: WorkerStage,
+    /// What operators say now, to whichever process of the dispatcher.
+    pub operators: OperatorState,
 }
 
 /// What became of the attempt since it was decided.
@@ -94,6 +105,9 @@
     /// No list that names the worker.
     #[error("the worker is not listed")]
     WorkerUnknown,
+    /// An operator has taken the worker out, perhaps since the attempt was decided.
+    #[error("an operator has taken the worker out of service")]
+    WorkerOutOfService,
     /// The list says something else of the worker than it did when the attempt was decided.
     #[error("the list says something else of the worker by now")]
     WorkerChanged,
@@ -156,6 +170,9 @@
             Some(stage) if stage != self.worker.decided_at => return Err(SendRefusal::WorkerChanged),
             Some(_) => {}
         }
+        if self.worker.operators == OperatorState::OutOfService {
+            return Err(SendRefusal::WorkerOutOfService);
+        }
         Ok(SendPermit { made: self.now })
     }
 }
