The processes of a dispatcher know of each other: updates reach the job's owner

Cause: both accept workers' calls from one socket, and the one that does not know a job answered 200 all the same. Change: each process writes down where its admin console listens, and introduces itself to those it finds there, so that they know of it where the folder is full; calls go to that console, with a token of the folder. An update of no attempt here is passed on; it is answered 200 only where its owner took it or no process has the job, and refused while an owner gives no answer (300 ms). Without a console a process that may have a sibling refuses such updates for its first 15 s and behind SIGTERM. Behind SIGTERM new connections are left to a sibling that serves. The console's yes also counts where every sibling has said that it knows, so a full disk costs no answer while the others can be asked; a new process takes over what they have. The stop has a module of its own; JobNews is JobUpdate. Not taken: a Unix socket in TMPDIR (a listener that the platform does not name); a mailbox of files (fails with the disk, and is polled).

--- a/control/src/overrides/table.rs
+++ b/control/src/overrides/table.rs
@@ -160,6 +160,11 @@
         self.clock.origin()
     }
 
+    /// The latest record of a slot, a clearing or one that has ended included.
+    pub fn latest(&self, slot: &Slot) -> Option<Arc<Record>> {
+        self.slots.get(slot).and_then(|held| held.first()).cloned()
+    }
+
     /// Everything that is remembered, by fingerprint.
     pub fn prints(&self) -> &BTreeMap<u64, Arc<Record>> {
         &self.prints
--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -8,7 +8,9 @@
 use crate::facade::Stage;
 use crate::fleet::api::ReplaceOrder;
 use crate::flow::{Flows, LedgerReport};
+use crate::listeners::http::Phase;
 use crate::overrides::{now, Overrides};
+use crate::siblings::Siblings;
 use crate::targets::http::HttpTargets;
 use crate::{fleet, peers, store};
 use actix_http::{Method, StatusCode};
@@ -16,6 +18,7 @@
 use lineroute_control::peers::Counts;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// How long an answer waits for the disk.
@@ -39,6 +42,9 @@
     pub peers: Option<peers::Handle>,
     pub store: Option<store::Handle>,
     pub fleet: Option<fleet::Handle>,
+    /// The other processes of this dispatcher, where there may be some.
+    pub siblings: Option<Rc<Siblings>>,
+    pub phase: Rc<Phase>,
     /// The longest that an override may last, in milliseconds: a cordon lasts so long unless it is lifted.
     pub longest: u64,
 }
@@ -241,11 +247,17 @@
                 return Err(format!("no worker {worker} was ever listed"));
             }
             let until = now() + self.longest;
-            let order = Order { slot, weight: None, until, by: CONSOLE_AUTHOR.into(), why: "cordon".into() };
+            let order = Order {
+                slot: slot.clone(),
+                weight: None,
+                until,
+                by: CONSOLE_AUTHOR.into(),
+                why: "cordon".into(),
+            };
             self.overrides.set(order).map_err(|faulty| faulty.to_string())?;
             "cordoned"
         };
-        self.holds_everywhere().await?;
+        self.holds_everywhere(&slot).await?;
         Ok(done)
     }
 
@@ -256,13 +268,14 @@
     /// dispatcher.
     pub async fn uncordon(&self, worker: &str) -> Result<&'static str, String> {
         self.flows.refresh_operator_state();
-        let cleared = self.overrides.clear_slot(&out_of_service(worker), CONSOLE_AUTHOR, "uncordon");
+        let slot = out_of_service(worker);
+        let cleared = self.overrides.clear_slot(&slot, CONSOLE_AUTHOR, "uncordon");
         let done = match cleared.map_err(|faulty| faulty.to_string())? {
             Some(_) => "uncordoned",
             None if self.flows.was_listed(worker) => "not cordoned",
             None => return Err(format!("no worker {worker} was ever listed")),
         };
-        self.holds_everywhere().await?;
+        self.holds_everywhere(&slot).await?;
         Ok(done)
     }
 
@@ -271,11 +284,19 @@
         lines.iter().any(|line| line.record.slot == *slot && line.record.effect == Effect::Set(None))
     }
 
-    /// Waits until what is in force here binds each process of this dispatcher.
-    async fn holds_everywhere(&self) -> Result<(), String> {
+    /// Waits until what is in force here in a slot binds each process of this dispatcher: they see it in the log, or have
+    /// said that they know.
+    async fn holds_everywhere(&self, slot: &Slot) -> Result<(), String> {
         let Some(store) = &self.store else { return Ok(()) };
-        let revision = self.overrides.with(|table| table.revision());
-        match store.is_appended(revision, HOLDS_WITHIN).await {
+        let (revision, record) = self.overrides.with(|table| (table.revision(), table.latest(slot)));
+        let share = async {
+            match (&self.siblings, &record) {
+                (Some(siblings), Some(record)) => siblings.share(record).await,
+                _ => false,
+            }
+        };
+        let (is_appended, is_shared) = tokio::join!(store.is_appended(revision, HOLDS_WITHIN), share);
+        match is_appended || is_shared {
             true => Ok(()),
             false => {
                 Err("in force in this process, but not written down: another process may not know".into())
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -10,8 +10,9 @@
 use crate::facade::FlowId;
 use crate::flow::{Answer, Flows, Job, Listener, NotTaken};
 use crate::list::monitor::ListMonitor;
+use crate::siblings::{Delivery, Siblings};
 use crate::stops;
-use crate::targets::http::{HttpTargets, JobNews};
+use crate::targets::http::{HttpTargets, JobUpdate};
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderMap};
 use actix_http::{
@@ -29,6 +30,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
+use tracing::info;
 
 /// A body holds so much at most.
 pub const MAX_BODY: usize = 64 << 10;
@@ -69,8 +71,16 @@
 /// can't serve what is sent to it, and others can.
 const UP_WITHOUT_LIST: Duration = Duration::from_secs(4);
 
+/// A process whose socket was inherited may have a sibling that it knows nothing of for so long: the one that it replaces.
+const SIBLING_WITHIN: Duration = Duration::from_secs(15);
+
 /// What the front has come to, between start and exit.
 pub struct Phase {
+    /// Others may accept from the socket too, and what stands in its queue is theirs as well.
+    shared: bool,
+    /// What stands in the queue is left to them.
+    leaves_queue: Cell<bool>,
+    queue_changed: Notify,
     /// The worker list was valid once, or was waited for long enough.
     up: Cell<bool>,
     list: Rc<ListMonitor>,
@@ -85,9 +95,12 @@
 }
 
 impl Phase {
-    /// A front at its start, which waits for this list.
-    pub fn new(list: Rc<ListMonitor>) -> Self {
+    /// A front at its start, which waits for this list. `shared`: others may accept from its socket too.
+    pub fn new(list: Rc<ListMonitor>, shared: bool) -> Self {
         Phase {
+            shared,
+            leaves_queue: Cell::default(),
+            queue_changed: Notify::new(),
             up: Cell::default(),
             list,
             began: Instant::now(),
@@ -98,8 +111,26 @@
         }
     }
 
+    /// Whether another process may accept from the same socket that this one has no way to ask.
+    fn may_have_sibling(&self) -> bool {
+        self.shared && (self.closing.get() || self.began.elapsed() < SIBLING_WITHIN)
+    }
+
+    /// Whether others may accept from the socket too.
+    pub fn is_shared(&self) -> bool {
+        self.shared
+    }
+
+    /// Leaves what stands in the socket's queue to the others that accept from it, or takes part again.
+    pub fn leave_queue(&self, leaves: bool) {
+        if self.leaves_queue.replace(leaves) != leaves {
+            info!(leaves, "new connections are left to another process");
+            self.queue_changed.notify_one();
+        }
+    }
+
     /// Whether clients may be sent here. Once they may, they may until the stop.
-    fn is_up(&self) -> bool {
+    pub fn is_up(&self) -> bool {
         let up = self.up.get() || self.list.state().is_valid() || self.began.elapsed() >= UP_WITHOUT_LIST;
         self.up.set(up);
         up && !self.closing.get()
@@ -121,11 +152,12 @@
         self.over.notify_one();
     }
 
-    pub(super) fn is_shut(&self) -> bool {
+    pub fn is_shut(&self) -> bool {
         self.shut.get()
     }
 
-    fn state(&self) -> ProcessState {
+    /// What the process is at.
+    pub fn state(&self) -> ProcessState {
         match (self.shut.get(), self.closing.get()) {
             (true, _) => ProcessState::Stopping,
             (false, true) => ProcessState::Draining,
@@ -156,6 +188,8 @@
     pub slots: Rc<ConnectionSlots>,
     /// The memory that bodies in passage share.
     pub budgets: Budgets,
+    /// The other processes of this dispatcher, where there may be some.
+    pub siblings: Option<Rc<Siblings>>,
     /// Begins the ids of jobs that came without one; how many have.
     pub prefix: String,
     pub made: Cell<u64>,
@@ -187,9 +221,8 @@
 }
 
 impl HttpListener {
-    /// Accepts and serves connections, until the phase has come to its end. `shared`: others accept from this socket too,
-    /// and what stands in its queue then is theirs.
-    pub async fn serve(self: Rc<Self>, socket: TcpListener, shared: bool) {
+    /// Accepts and serves connections, until the phase has come to its end.
+    pub async fn serve(self: Rc<Self>, socket: TcpListener) {
         let this = self.clone();
         let service = move |request: Request| {
             let this = this.clone();
@@ -214,6 +247,13 @@
             if self.phase.over.notified().now_or_never().is_some() {
                 break;
             }
+            if self.phase.leaves_queue.get() {
+                // Nothing is lost with the one that is dropped: a notice that nobody waits for is kept.
+                tokio::select! {
+                    () = self.phase.over.notified() => break,
+                    () = self.phase.queue_changed.notified() => continue,
+                }
+            }
             // One that need not be waited for stood in the queue.
             let at_once = socket.accept().now_or_never();
             let queued = at_once.is_some();
@@ -225,6 +265,7 @@
                     let accepted = tokio::select! {
                         accepted = socket.accept() => accepted,
                         () = self.phase.over.notified() => break,
+                        () = self.phase.queue_changed.notified() => continue,
                     };
                     // It was empty until this one came: those behind it came no sooner.
                     arrivals.queue_is_empty(arrivals.earliest(Instant::now()));
@@ -247,7 +288,7 @@
         stops::at("stop.over");
         // A socket that closes resets what stands in its queue. The kernel is asked, since the event loop may not have
         // heard; nothing is awaited until it is closed.
-        if shared {
+        if self.phase.shared {
             return;
         }
         for (stream, peer) in queued(&socket) {
@@ -347,14 +388,9 @@
             "/up" if get => plain(StatusCode::SERVICE_UNAVAILABLE, "waiting for the worker list\n"),
             "/_jobs/news" if post => match body(&mut request, slot).await {
                 Err(status) => plain(status, "no body could be read\n"),
-                Ok(body) => match serde_json::from_slice::<JobNews>(&body) {
+                Ok(body) => match serde_json::from_slice::<JobUpdate>(&body) {
                     Err(_) => plain(StatusCode::BAD_REQUEST, "not a worker's call\n"),
-                    Ok(news) => {
-                        if self.targets.news(news) {
-                            slot.into_iter().for_each(ConnectionSlot::is_workers);
-                        }
-                        plain(StatusCode::OK, "")
-                    }
+                    Ok(update) => self.job_update(update, slot).await,
                 },
             },
             "/up" | "/_jobs/news" => {
@@ -370,6 +406,33 @@
         }
     }
 
+    /// A worker's job status update: of a job here, or of one that a sibling process has. It is answered well only where one of
+    /// them has taken it or none has the job; else the worker tells it again.
+    async fn job_update(&self, update: JobUpdate, slot: Option<&ConnectionSlot>) -> Response<Bytes> {
+        let delivery = if self.targets.has_attempt(&update) {
+            self.targets.take_update(update);
+            Delivery::Taken
+        } else {
+            let delivery = match &self.siblings {
+                Some(siblings) => siblings.deliver(&update).await,
+                None if self.phase.may_have_sibling() => Delivery::NotNow,
+                None => Delivery::Unknown,
+            };
+            self.targets.count_elsewhere(&update, delivery);
+            delivery
+        };
+        match delivery {
+            Delivery::Taken => {
+                slot.into_iter().for_each(ConnectionSlot::is_workers);
+                plain(StatusCode::OK, "")
+            }
+            Delivery::Unknown => plain(StatusCode::OK, ""),
+            Delivery::NotNow => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "tell it again: its process can't be asked\n")
+            }
+        }
+    }
+
     async fn job(
         &self,
         mut request: Request,
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -18,6 +18,8 @@
 mod nginx;
 mod overrides;
 mod peers;
+mod siblings;
+mod stop;
 mod stops;
 mod store;
 mod targets;
@@ -41,11 +43,13 @@
 use overrides::Overrides;
 use peers::discovery_reports::DiscoveryReports;
 use rustc_hash::FxHashMap;
+use siblings::Siblings;
 use std::cell::{Cell, OnceCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use stop::Running;
 use store::{LoggedOperatorState, Store};
 use targets::beanstalkd::BeanstalkdTargets;
 use targets::client::HttpClient;
@@ -54,13 +58,8 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use tracing::{info, info_span, warn};
 
-/// After SIGTERM clients keep coming for a while: so long they are served.
-const KEEP_TAKING: Duration = Duration::from_millis(700);
-/// How long answers may take to reach their clients once the last flow has ended.
-const LAST_WORDS: Duration = Duration::from_secs(1);
 /// Part of the memory that bodies may take.
 const BODY_PART: usize = 4;
 /// Part of the memory that bodies in passage may take; what each may always hold, and at most.
@@ -68,15 +67,6 @@
 const STREAM_FLOOR: usize = 16 << 10;
 const STREAM_CEILING: usize = 256 << 10;
 
-/// How long answers that pass may go on once everything else is done; then they are cut short.
-const PASS_ON: Duration = Duration::from_secs(10);
-/// Between two lines of the log on what a stop waits for.
-const REPORT_STOP_EVERY: Duration = Duration::from_millis(500);
-/// Between two looks at what a stop waits for.
-const LOOK_AGAIN: Duration = Duration::from_millis(5);
-/// How long answers that beanstalkd clients have not fetched are kept once everything else is done.
-const KEEP_ANSWERS: Duration = Duration::from_secs(5);
-
 fn main() -> ExitCode {
     cli::main(start)
 }
@@ -149,6 +139,7 @@
     targets: &HttpTargets,
     budgets: &Budgets,
     reports: &Rc<DiscoveryReports>,
+    phase: &Rc<Phase>,
 ) -> Result<Started, String> {
     let (classes, tenants) = (config.site.classes.clone(), config.site.tenants.clone());
     let fleet = match config.fleet.take() {
@@ -179,6 +170,10 @@
         Some(peers) => Some(peers::start(peers, overrides.clone(), reports.clone()).await?),
         None => None,
     };
+    let siblings = match (&config.state_dir, config.admin_console) {
+        (Some(dir), Some(console)) => Some(Siblings::new(dir.path(), console)?),
+        _ => None,
+    };
     let (dispatcher, flows, longest) = (config.name.clone(), flows.clone(), config.longest);
     let (budgets, peer) = (budgets.clone(), peers.clone());
     let calls = admin::Calls {
@@ -191,6 +186,8 @@
         peers: peer,
         store,
         fleet: fleet.clone(),
+        siblings,
+        phase: phase.clone(),
         longest,
     };
     let calls = Rc::new(calls);
@@ -267,12 +264,13 @@
     if let Some(peers) = config.load_gossip.take() {
         peers::load_gossip::start(peers, flows.clone(), discovery_reports.clone()).await?;
     }
+    let shared = config.inherited.is_some();
+    let phase = Rc::new(Phase::new(monitor.clone(), shared));
     let Started { reloaded: control, calls } =
-        control(&mut config, &flows, &targets, &budgets, &discovery_reports).await?;
+        control(&mut config, &flows, &targets, &budgets, &discovery_reports, &phase).await?;
     let fleet = control.fleet.clone();
     let _ = reloaded.set(control);
     let Config { routes, known, .. } = config;
-    let shared = config.inherited.is_some();
     let origin = match config.inherited {
         Some(fd) => Origin::Inherited(fd),
         None => Origin::Bind(config.listen),
@@ -307,7 +305,15 @@
         ListSourceKind::Asked => drop(actix_rt::spawn(list::watch(source, schedule))),
         ListSourceKind::Fixed => drop(actix_rt::spawn(list::stand(flows.clone()))),
     }
-    let phase = Rc::new(Phase::new(monitor.clone()));
+    // Before clients are served: what concerns them may come to a sibling.
+    let siblings = calls.as_ref().and_then(|calls| calls.siblings.clone());
+    let console = match config.admin_console {
+        Some(at) => Some(admin::console::bind(at).await?),
+        None => None,
+    };
+    if let (Some(siblings), Some(calls)) = (&siblings, &calls) {
+        siblings.announce(&calls.overrides).await;
+    }
     let listener = HttpListener {
         flows: flows.clone(),
         targets,
@@ -316,16 +322,17 @@
         phase: phase.clone(),
         slots: slots.clone(),
         budgets,
+        siblings: siblings.clone(),
         prefix,
         made: Cell::new(0),
     };
-    let serving = actix_rt::spawn(Rc::new(listener).serve(socket, shared));
-    if let (Some(at), Some(calls)) = (config.admin_console, calls) {
-        admin::console::start(at, calls).await?;
+    let serving = actix_rt::spawn(Rc::new(listener).serve(socket));
+    if let (Some(socket), Some(calls)) = (console, calls) {
+        actix_rt::spawn(admin::console::serve(socket, calls));
     }
 
     term.recv().await;
-    let running = Running { flows, phase, front, fleet, serving, slots };
+    let running = Running { flows, phase, front, fleet, siblings, serving, slots };
     running.stop().await;
     Ok(())
 }
@@ -358,65 +365,3 @@
     info!(addr = %listen, "listens to beanstalkd clients");
     Ok(socket)
 }
-
-/// What a stop has to end, in its order.
-struct Running {
-    flows: Flows,
-    phase: Rc<Phase>,
-    front: Option<Rc<BeanstalkdListener>>,
-    fleet: Option<fleet::Handle>,
-    /// Lets clients of the platform in until it is told to end.
-    serving: JoinHandle<()>,
-    slots: Rc<ConnectionSlots>,
-}
-
-impl Running {
-    /// Takes nothing new, answers what was taken, and says goodbye. What it still owes when the platform kills the process is lost.
-    async fn stop(self) {
-        let Running { flows, phase, front, fleet, serving, slots } = self;
-        info!(flows = flows.owed(), "SIGTERM: stopping");
-        let report = actix_rt::spawn(report_stop(flows.clone(), Instant::now()));
-        phase.close();
-        front.iter().for_each(|f| f.stop());
-        tokio::time::sleep(KEEP_TAKING).await;
-        phase.shut();
-        info!(flows = flows.owed(), "SIGTERM: new requests are refused from here on");
-        while flows.owed() > 0 {
-            flows.settled().await;
-        }
-        info!("SIGTERM: every request has its answer");
-        while_within(KEEP_ANSWERS, || front.as_ref().is_some_and(|f| f.left() > 0)).await;
-        while_within(PASS_ON, || flows.passing() > 0).await;
-        if flows.passing() > 0 {
-            warn!(flows = flows.passing(), "SIGTERM: answers that were passing are cut short");
-        }
-        if let Some(fleet) = fleet {
-            fleet.leave().await;
-        }
-        let ledger = flows.ledger();
-        info!(sent = ledger.sent, refused = ?ledger.refused, violations = ?ledger.violations, "SIGTERM: permits since the start");
-        // Whoever still waits in the listener's queue is let in and refused; then there is none.
-        phase.end();
-        let _ = serving.await;
-        while_within(LAST_WORDS, || slots.count() > 0).await;
-        report.abort();
-    }
-}
-
-/// Logs what a stopping process still owes, until it is aborted. Nothing is lost then: it only reads.
-async fn report_stop(flows: Flows, since: Instant) {
-    loop {
-        tokio::time::sleep(REPORT_STOP_EVERY).await;
-        let (owed, attempts, after_ms) =
-            (flows.owed(), flows.attempts_out(), since.elapsed().as_millis() as u64);
-        info!(owed, attempts, after_ms, "SIGTERM: still stopping");
-    }
-}
-
-/// Waits while something is so, for a span at most.
-async fn while_within(span: Duration, is_so: impl Fn() -> bool) {
-    let last = tokio::time::Instant::now() + span;
-    while is_so() && tokio::time::Instant::now() < last {
-        tokio::time::sleep(LOOK_AGAIN).await;
-    }
-}
--- a/dispatcher/src/overrides.rs
+++ b/dispatcher/src/overrides.rs
@@ -4,7 +4,7 @@
 
 use crate::facade::{Pinned, Steer};
 use crate::flow::Flows;
-use lineroute_control::overrides::{Faulty, Forces, Line, Order, Record, Slot, Table};
+use lineroute_control::overrides::{Faulty, Forces, Line, Merged, Order, Record, Slot, Table};
 use lineroute_control::Millis;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -115,6 +115,14 @@
         result
     }
 
+    /// Takes in records of this dispatcher's own, from before its start or from another process of it; how many were new.
+    pub fn restore(&self, records: Vec<Record>) -> usize {
+        self.with(|table| {
+            let merged = records.into_iter().map(|record| table.restore(record, now()));
+            merged.filter(|merged| *merged == Merged::New).count()
+        })
+    }
+
     fn settle(&self) {
         self.apply();
         self.0.revision.send_replace(self.0.table.borrow().revision());
--- /dev/null
+++ b/dispatcher/src/siblings/client.rs
@@ -0,0 +1,73 @@
+//! One call to a sibling process.
+
+use super::protocol::{Answer, Call, Introduction, Request, MAX_ANSWER, PREFIX};
+use std::io;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Behind an answer that there is no room for the call.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// What the console says to callers that it has no room for.
+const BUSY: &str = "ERR busy";
+
+/// Why a call came to no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// The kernel says that nobody listens there, or another process does: the sibling is no more.
+    #[error("the process is gone")]
+    Gone,
+    /// No answer in time: it may live, and stand still.
+    #[error("no answer in time")]
+    Silent,
+    /// The connection broke, or what came was no answer.
+    #[error("the call broke: {0}")]
+    Broken(String),
+}
+
+impl From<io::Error> for CallError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => CallError::Gone,
+            _ => CallError::Broken(error.to_string()),
+        }
+    }
+}
+
+/// Calls a sibling, within a time. Dropped, the call may have been heeded.
+///
+/// # Errors
+/// It came to no answer.
+pub async fn call(to: &Introduction, request: Request, within: Duration) -> Result<Answer, CallError> {
+    let call = Call { token: to.token.clone(), request };
+    let call = serde_json::to_string(&call).map_err(|e| CallError::Broken(e.to_string()))?;
+    let line = format!("{PREFIX}{call}\n");
+    let answered = async {
+        loop {
+            let answer = exchange(to, &line).await?;
+            if !answer.starts_with(BUSY) {
+                return parse(&answer);
+            }
+            tokio::time::sleep(BUSY_PAUSE).await;
+        }
+    };
+    tokio::time::timeout(within, answered).await.unwrap_or(Err(CallError::Silent))
+}
+
+async fn exchange(to: &Introduction, line: &str) -> Result<String, CallError> {
+    let mut stream = TcpStream::connect(to.console).await?;
+    stream.write_all(line.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.take(MAX_ANSWER as u64).read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+fn parse(answer: &str) -> Result<Answer, CallError> {
+    match answer.trim_end().split_once(' ') {
+        Some(("OK", json)) => serde_json::from_str(json).map_err(|e| CallError::Broken(e.to_string())),
+        // A process that does not know the token is not the one that is meant.
+        Some(("ERR", reason)) if reason == super::WRONG_TOKEN => Err(CallError::Gone),
+        _ => Err(CallError::Broken(format!("{answer:.80}"))),
+    }
+}
--- /dev/null
+++ b/dispatcher/src/stop.rs
@@ -0,0 +1,109 @@
+//! The end of the process behind SIGTERM: its stages, and what it owes in each.
+
+use crate::fleet;
+use crate::flow::Flows;
+use crate::listeners::beanstalkd::BeanstalkdListener;
+use crate::listeners::connection_slots::ConnectionSlots;
+use crate::listeners::http::Phase;
+use crate::siblings::protocol::State;
+use crate::siblings::Siblings;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+use tracing::{info, warn};
+
+/// After SIGTERM clients keep coming for a while: so long they are served.
+const KEEP_TAKING: Duration = Duration::from_millis(700);
+/// How long answers may take to reach their clients once the last flow has ended.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+/// How long answers that pass may go on once everything else is done; then they are cut short.
+const PASS_ON: Duration = Duration::from_secs(10);
+/// Between two lines of the log on what a stop waits for.
+const REPORT_STOP_EVERY: Duration = Duration::from_millis(500);
+/// Between two looks at whether a sibling takes new connections.
+const ASK_SIBLINGS_EVERY: Duration = Duration::from_millis(100);
+/// Between two looks at what a stop waits for.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+/// How long answers that beanstalkd clients have not fetched are kept once everything else is done.
+const KEEP_ANSWERS: Duration = Duration::from_secs(5);
+
+/// What a stop has to end, in its order.
+pub struct Running {
+    pub flows: Flows,
+    pub phase: Rc<Phase>,
+    pub front: Option<Rc<BeanstalkdListener>>,
+    pub fleet: Option<fleet::Handle>,
+    /// The other processes of this dispatcher, where there may be some.
+    pub siblings: Option<Rc<Siblings>>,
+    /// Lets clients of the platform in until it is told to end.
+    pub serving: JoinHandle<()>,
+    pub slots: Rc<ConnectionSlots>,
+}
+
+impl Running {
+    /// Takes nothing new, answers what was taken, and says goodbye. What it still owes when the platform kills the process is lost.
+    pub async fn stop(self) {
+        let Running { flows, phase, front, fleet, siblings, serving, slots } = self;
+        info!(flows = flows.owed(), "SIGTERM: stopping");
+        let report = actix_rt::spawn(report_stop(flows.clone(), Instant::now()));
+        phase.close();
+        siblings.iter().for_each(|siblings| siblings.stop());
+        let queue = siblings.clone().filter(|_| phase.is_shared());
+        let queue = queue.map(|siblings| actix_rt::spawn(leave_queue(siblings, phase.clone())));
+        front.iter().for_each(|f| f.stop());
+        tokio::time::sleep(KEEP_TAKING).await;
+        phase.shut();
+        info!(flows = flows.owed(), "SIGTERM: new requests are refused from here on");
+        while flows.owed() > 0 {
+            flows.settled().await;
+        }
+        info!("SIGTERM: every request has its answer");
+        while_within(KEEP_ANSWERS, || front.as_ref().is_some_and(|f| f.left() > 0)).await;
+        while_within(PASS_ON, || flows.passing() > 0).await;
+        if flows.passing() > 0 {
+            warn!(flows = flows.passing(), "SIGTERM: answers that were passing are cut short");
+        }
+        if let Some(fleet) = fleet {
+            fleet.leave().await;
+        }
+        let ledger = flows.ledger();
+        info!(sent = ledger.sent, refused = ?ledger.refused, violations = ?ledger.violations, "SIGTERM: permits since the start");
+        // Whoever still waits in the listener's queue is let in and refused; then there is none.
+        phase.end();
+        let _ = serving.await;
+        while_within(LAST_WORDS, || slots.count() > 0).await;
+        siblings.iter().for_each(|siblings| siblings.leave());
+        queue.iter().for_each(JoinHandle::abort);
+        report.abort();
+    }
+}
+
+/// Leaves new connections to a sibling that serves them, for as long as there is one. Aborted, it leaves things as they are.
+async fn leave_queue(siblings: Rc<Siblings>, phase: Rc<Phase>) {
+    loop {
+        let states = siblings.states().await;
+        // Until new requests are refused here, a sibling that has no list yet would serve them later than this process.
+        let is_served =
+            states.contains(&State::Serving) || phase.is_shut() && states.contains(&State::Starting);
+        phase.leave_queue(is_served);
+        tokio::time::sleep(ASK_SIBLINGS_EVERY).await;
+    }
+}
+
+/// Logs what a stopping process still owes, until it is aborted. Nothing is lost then: it only reads.
+async fn report_stop(flows: Flows, since: Instant) {
+    loop {
+        tokio::time::sleep(REPORT_STOP_EVERY).await;
+        let (owed, attempts, after_ms) =
+            (flows.owed(), flows.attempts_out(), since.elapsed().as_millis() as u64);
+        info!(owed, attempts, after_ms, "SIGTERM: still stopping");
+    }
+}
+
+/// Waits while something is so, for a span at most.
+async fn while_within(span: Duration, is_so: impl Fn() -> bool) {
+    let last = tokio::time::Instant::now() + span;
+    while is_so() && tokio::time::Instant::now() < last {
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
--- a/dispatcher/src/store/mod.rs
+++ b/dispatcher/src/store/mod.rs
@@ -150,10 +150,7 @@
         if records.is_empty() {
             return;
         }
-        let taken = overrides.with(|table| {
-            let merged = records.into_iter().map(|record| table.restore(record, now()));
-            merged.filter(|merged| *merged == Merged::New).count()
-        });
+        let taken = overrides.restore(records);
         if taken > 0 {
             info!(taken, "overrides of another process of this dispatcher");
         }
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -1,5 +1,5 @@
 //! Workers that speak the platform's HTTP: a job is posted, taken with 202, and its fate comes as calls to
-//! the dispatcher's own address (`HttpTargets::news`). After the 202 a forward lives without a connection.
+//! the dispatcher's own address (`HttpTargets::take_update`). After the 202 a forward lives without a connection.
 
 use super::client::{CallError, HttpAnswer, HttpClient, MAX_ANSWER, TAKEN_WITHIN};
 use super::gate::Gate;
@@ -8,6 +8,7 @@
 use crate::fleet::FencedOperation;
 use crate::flow::{Flows, Forward, Target, Ticket};
 use crate::local_faults::TRY_AGAIN_AFTER;
+use crate::siblings::Delivery;
 use awc::http::{header, Method};
 use bytes::Bytes;
 use lineroute_permit::RetryPermit;
@@ -30,16 +31,16 @@
 const CANCEL_TIMEOUTS: u32 = 2;
 
 /// What a worker tells of a job.
-#[derive(Debug, Deserialize)]
-pub struct JobNews {
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct JobUpdate {
     pub id: String,
     pub from: String,
     pub state: String,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub share: Option<f64>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub result: Option<serde_json::Value>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load: Option<serde_json::Value>,
 }
 
@@ -66,8 +67,12 @@
 pub struct UpdateCounts {
     /// Of an attempt that this process has out.
     pub taken: u64,
-    /// Of none: sent again, of one that is over, or of another process's.
+    /// Of one that a sibling process has out: passed on to it.
+    pub passed_on: u64,
+    /// Of none: sent again, or of one that is over.
     pub unknown: u64,
+    /// Refused, so that they are sent again: a sibling process that may have the job could not be asked.
+    pub refused: u64,
 }
 
 /// The forwards that are out at such workers, by the reference of their job.
@@ -87,40 +92,48 @@
         HttpTargets { flows, client, connect_within, reports, out: Rc::default(), counts: Rc::default() }
     }
 
+    /// Takes note of an update of no attempt here, and of what became of it.
+    pub fn count_elsewhere(&self, update: &JobUpdate, delivery: Delivery) {
+        let (reference, worker, state) = (&*update.id, &*update.from, &*update.state);
+        debug!(reference, worker, state, ?delivery, "a job status update of no attempt here");
+        let counts = &mut *self.counts.borrow_mut();
+        match delivery {
+            Delivery::Taken => counts.passed_on += 1,
+            Delivery::Unknown => counts.unknown += 1,
+            Delivery::NotNow => counts.refused += 1,
+        }
+    }
+
     /// Job status updates since the start.
     pub fn update_counts(&self) -> UpdateCounts {
         *self.counts.borrow()
     }
 
-    /// Takes a worker's call. It may come before the 202, again, or of an attempt that is over: only what
-    /// the worker tells of the attempt that it now has is taken up. Whether it was a worker's.
-    pub fn news(&self, news: JobNews) -> bool {
+    /// Whether an update is of an attempt that this process has out.
+    pub fn has_attempt(&self, update: &JobUpdate) -> bool {
+        self.out.borrow().get(&update.id).is_some_and(|out| *out.forward.name == *update.from)
+    }
+
+    /// Takes a worker's update. It may come before the 202, again, or of an attempt that is over: only what
+    /// the worker tells of the attempt that it now has is taken up. False: this process has none such out.
+    pub fn take_update(&self, update: JobUpdate) -> bool {
         let forward = {
             let mut out = self.out.borrow_mut();
-            out.get_mut(&news.id).filter(|o| *o.forward.name == *news.from).map(|o| {
+            out.get_mut(&update.id).filter(|o| *o.forward.name == *update.from).map(|o| {
                 o.told = true;
                 o.forward.clone()
             })
         };
-        let Some(forward) = forward else {
-            debug!(
-                reference = news.id,
-                worker = news.from,
-                state = news.state,
-                "a job status update of no attempt here"
-            );
-            self.counts.borrow_mut().unknown += 1;
-            return false;
-        };
+        let Some(forward) = forward else { return false };
         self.counts.borrow_mut().taken += 1;
         let ticket = forward.ticket;
-        let end = match news.state.as_str() {
+        let end = match update.state.as_str() {
             "started" => {
                 self.flows.begun(ticket);
                 return true;
             }
             "running" => {
-                self.flows.progress(ticket, news.share.unwrap_or(0.0));
+                self.flows.progress(ticket, update.share.unwrap_or(0.0));
                 return true;
             }
             "done" => Outcome::Served,
@@ -129,15 +142,15 @@
             "lost" => Outcome::Cut,
             _ => return true,
         };
-        let result = news.result.map(|r| match r {
+        let result = update.result.map(|r| match r {
             serde_json::Value::String(text) => Bytes::from(text),
             other => Bytes::from(other.to_string()),
         });
-        let load = news.load.as_ref().and_then(|l| load::from_object(l.as_object()?));
+        let load = update.load.as_ref().and_then(|l| load::from_object(l.as_object()?));
         if end != Outcome::Served && self.waits(&forward, end, load) {
             return true;
         }
-        self.end(&news.id, ticket, end, result, load);
+        self.end(&update.id, ticket, end, result, load);
         true
     }
 
