A test that everybody has an answer before the earliest kill (failing)

16 clients on open connections, workers that hang, SIGKILL at the earliest moment: with deadlines of 5 and 15 s 16 of 16 requests have no answer at the kill; with 0.4 s, and with 1.2 and 2.5 s, all have.

--- a/dispatcher/tests/replacement.rs
+++ b/dispatcher/tests/replacement.rs
@@ -227,3 +227,89 @@
     thaw.join().expect("it goes on");
     served
 }
+
+/// The longest deadline counts as this much at most, and behind it and this grace SIGKILL may come.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// A request that is sent so shortly before the kill need not be answered.
+const CROSSES_THE_KILL: Duration = Duration::from_millis(100);
+
+/// SIGKILL comes at its earliest, and workers hang: whoever has sent something has an answer by then, or the end of the
+/// connection with nothing read.
+#[test]
+fn everybody_has_an_answer_before_the_earliest_kill() {
+    let cases = [(400, 400), (5000, 15_000), (1200, 2500)];
+    let broken: Vec<String> =
+        cases.iter().filter_map(|(short, long)| killed_at_the_earliest(*short, *long).err()).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// What became of a client's requests on one connection, when the process was killed.
+#[derive(Debug, Default)]
+struct Heard {
+    answers: Vec<(Duration, u16)>,
+    /// When the request that has no answer was sent.
+    unanswered: Option<Instant>,
+}
+
+/// A client that sends one request behind the other on its connection until that ends.
+fn goes_on(mut client: Client, name: String, class: &str, budget: u64) -> Heard {
+    let mut heard = Heard::default();
+    for request in 0.. {
+        let sent = Instant::now();
+        client.post(&format!("{name}-{request}"), class, &format!("X-Budget-Ms: {budget}\r\n"));
+        let Some(answer) = client.heard() else {
+            heard.unanswered = Some(sent);
+            return heard;
+        };
+        heard.answers.push((sent.elapsed(), answer.status()));
+        if answer.headers.get("connection").is_some_and(|value| value == "close") {
+            return heard;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    heard
+}
+
+fn killed_at_the_earliest(short: u64, long: u64) -> Result<(), String> {
+    let settings = silent_settings()
+        .replacen(r#""deadline_ms": 8000"#, &format!(r#""deadline_ms": {short}"#), 1)
+        .replace(r#""deadline_ms": 8000"#, &format!(r#""deadline_ms": {long}"#))
+        .replace(r#""aim_ms": 500"#, &format!(r#""aim_ms": {}"#, short.min(500)));
+    let dispatcher = Dispatcher::with_settings(2, Conduct::Hangs, &settings);
+    let old = dispatcher.start();
+    let addr = dispatcher.addr();
+    // All are connected to the old process. Some send before SIGTERM, others in the time in which requests are still taken.
+    let connected: Vec<Client> = (0..16).map(|_| Client::new(addr)).collect();
+    let clients: Vec<_> = (0..16)
+        .zip(connected)
+        .map(|(number, client)| {
+            let (class, budget) = if number % 2 == 0 { ("quote", short) } else { ("order", long) };
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(50 * number));
+                goes_on(client, format!("goes-on-{number}"), class, budget)
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    let _new = dispatcher.start();
+    old.rig.terminate();
+    let kill_at = Instant::now() + Duration::from_millis(long.max(short)).min(LONGEST_COUNTED) + KILL_GRACE;
+    thread::sleep(kill_at.saturating_duration_since(Instant::now()));
+    let _ = std::process::Command::new("kill").args(["-KILL", &old.rig.pid().to_string()]).status();
+    let killed = Instant::now();
+    let heard: Vec<Heard> = clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    let unanswered = |heard: &&Heard| heard.unanswered.is_some_and(|sent| sent + CROSSES_THE_KILL < killed);
+    let without: Vec<Duration> = heard
+        .iter()
+        .filter(unanswered)
+        .filter_map(|heard| heard.unanswered)
+        .map(|sent| killed - sent)
+        .collect();
+    match without.is_empty() {
+        true => Ok(()),
+        false => Err(format!(
+            "deadlines {short} and {long} ms: no answer to requests sent {without:?} before the kill"
+        )),
+    }
+}
