A stopping process answers everybody before it may be killed

Cause: a stop waited for its flows (deadlines of 5 and 15 s) without knowing of the kill at 3.7 s. Change: 0.2 s before the earliest kill by the classes' deadlines (3 s of them at most, and 0.7 s) each request that is owed an answer gets one: refused where no first byte of it was ever written, else failed, and what is out is given up at its worker. With deadlines so short that this comes sooner, requests are taken for less than 0.7 s.

--- a/dispatcher/src/flow/core.rs
+++ b/dispatcher/src/flow/core.rs
@@ -37,6 +37,8 @@
     pub(super) forward: Forward,
     pub(super) sent: Instant,
     pub(super) cancelling: bool,
+    /// Its first byte was written.
+    pub(super) written: bool,
 }
 
 #[derive(Clone)]
@@ -161,7 +163,8 @@
             start_by: flow.start_by,
             again: flow.before.contains(&target),
         };
-        flow.out = Some(Out { forward: forward.clone(), sent: Instant::now(), cancelling: false });
+        flow.out =
+            Some(Out { forward: forward.clone(), sent: Instant::now(), cancelling: false, written: false });
         let out = self.out.entry(target).or_default();
         *out += 1;
         self.changed.push((target, Some(*out)));
@@ -264,6 +267,21 @@
         effects
     }
 
+    /// Answers a flow that this process can wait for no longer: as refused where nothing of it was ever sent, else as failed.
+    /// What is out for it is given up.
+    pub(super) fn give_up(&mut self, id: FlowId, retry_after: Duration, watch: &Notify) -> Vec<Effect> {
+        let Some(flow) = self.flows.get_mut(&id) else { return Vec::new() };
+        let Some(listener) = flow.listener.take() else { return Vec::new() };
+        let may_have_run = flow.may_have_run || flow.out.as_ref().is_some_and(|out| out.written);
+        let answer = if may_have_run { Answer::Failed } else { Answer::Refused(retry_after) };
+        let mut effects = vec![Effect::Answer(listener, answer)];
+        let decisions = self.facade.report(News::Left(id));
+        effects.extend(self.effects(decisions, watch));
+        effects.extend(self.cancel(id));
+        self.drop_if_over(id);
+        effects
+    }
+
     pub(super) fn drop_if_over(&mut self, id: FlowId) {
         let over = self.flows.get(&id).is_some_and(|f| f.listener.is_none() && f.out.is_none());
         if let Some(flow) = over.then(|| self.flows.remove(&id)).flatten() {
--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -217,6 +217,20 @@
         true
     }
 
+    /// Answers every flow that is owed an answer, since this process may end at any moment from now on; how many those are.
+    pub fn give_up_all(&self, retry_after: Duration) -> usize {
+        let (count, effects) = {
+            let core = &mut *self.core.borrow_mut();
+            let owed = core.flows.iter().filter(|(_, flow)| flow.listener.is_some());
+            let owed: Vec<FlowId> = owed.map(|(id, _)| *id).collect();
+            let give_up = |id: &FlowId| core.give_up(*id, retry_after, &self.watch);
+            let effects: Vec<Effect> = owed.iter().flat_map(give_up).collect();
+            (owed.len(), effects)
+        };
+        self.carry_out(effects);
+        count
+    }
+
     fn news(&self, ticket: Ticket, news: News) {
         let effects = {
             let core = &mut *self.core.borrow_mut();
--- a/dispatcher/src/flow/permits.rs
+++ b/dispatcher/src/flow/permits.rs
@@ -117,6 +117,10 @@
     pub fn first_byte_written(&self, forward: &Forward, passed_on: Option<Duration>) {
         let core = &mut *self.core.borrow_mut();
         core.ledger.was_sent(core.list.was_valid_lately());
+        let out = core.flows.get_mut(&forward.ticket.flow).and_then(|flow| flow.out.as_mut());
+        if let Some(out) = out.filter(|out| out.forward.ticket == forward.ticket) {
+            out.written = true;
+        }
         let Ticket { flow, number } = forward.ticket;
         let list = core.list.report();
         debug!(flow = flow.0, forward = number, target = %forward.name, list = %list.state,
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -214,6 +214,7 @@
     actix_rt::spawn(reload(hangup, sources, discovery, reloaded.clone()));
     let site = config.site.clone();
     let deadlines = site.settings.classes.iter().map(|c| Duration::from_micros(c.deadline));
+    let longest_deadline = deadlines.clone().max().unwrap_or_default();
     let words = Vocabulary {
         classes: site.classes.iter().cloned().zip(deadlines).collect(),
         tenants: site.tenants.clone(),
@@ -332,7 +333,7 @@
     }
 
     term.recv().await;
-    let running = Running { flows, phase, front, fleet, siblings, serving, slots };
+    let running = Running { flows, phase, front, fleet, siblings, serving, slots, longest_deadline };
     running.stop().await;
     Ok(())
 }
--- a/dispatcher/src/stop.rs
+++ b/dispatcher/src/stop.rs
@@ -20,6 +20,14 @@
 const PASS_ON: Duration = Duration::from_secs(10);
 /// Between two lines of the log on what a stop waits for.
 const REPORT_STOP_EVERY: Duration = Duration::from_millis(500);
+/// The platform counts the longest deadline as this at most; so long and [`KEEP_TAKING`] behind SIGTERM it may kill.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// Answers go out so long before that: the signal was sent before it was heeded, and many clients are answered at once.
+const LAST_MOMENT_MARGIN: Duration = Duration::from_millis(200);
+/// How long workers may take then to be told that their jobs are given up.
+const GIVE_UP_WITHIN: Duration = Duration::from_millis(100);
+/// When clients that are refused then may come again: another process serves by now.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
 /// Between two looks at whether a sibling takes new connections.
 const ASK_SIBLINGS_EVERY: Duration = Duration::from_millis(100);
 /// Between two looks at what a stop waits for.
@@ -38,24 +46,41 @@
     /// Lets clients of the platform in until it is told to end.
     pub serving: JoinHandle<()>,
     pub slots: Rc<ConnectionSlots>,
+    /// The longest time that a client waits for an answer.
+    pub longest_deadline: Duration,
+}
+
+/// How long behind SIGTERM everybody has to have an answer: SIGKILL may follow so soon.
+fn last_moment(longest_deadline: Duration) -> Duration {
+    (longest_deadline.min(LONGEST_COUNTED) + KEEP_TAKING).saturating_sub(LAST_MOMENT_MARGIN)
 }
 
 impl Running {
     /// Takes nothing new, answers what was taken, and says goodbye. What it still owes when the platform kills the process is lost.
     pub async fn stop(self) {
-        let Running { flows, phase, front, fleet, siblings, serving, slots } = self;
+        let Running { flows, phase, front, fleet, siblings, serving, slots, longest_deadline } = self;
         info!(flows = flows.owed(), "SIGTERM: stopping");
-        let report = actix_rt::spawn(report_stop(flows.clone(), Instant::now()));
+        let since = Instant::now();
+        let report = actix_rt::spawn(report_stop(flows.clone(), since));
         phase.close();
         siblings.iter().for_each(|siblings| siblings.stop());
         let queue = siblings.clone().filter(|_| phase.is_shared());
         let queue = queue.map(|siblings| actix_rt::spawn(leave_queue(siblings, phase.clone())));
         front.iter().for_each(|f| f.stop());
-        tokio::time::sleep(KEEP_TAKING).await;
+        let last_moment = last_moment(longest_deadline);
+        tokio::time::sleep(KEEP_TAKING.min(last_moment)).await;
         phase.shut();
         info!(flows = flows.owed(), "SIGTERM: new requests are refused from here on");
-        while flows.owed() > 0 {
-            flows.settled().await;
+        let settled = async {
+            while flows.owed() > 0 {
+                flows.settled().await;
+            }
+        };
+        // Dropped, it only waited.
+        if tokio::time::timeout_at((since + last_moment).into(), settled).await.is_err() {
+            let (attempts, owed) = (flows.attempts_out(), flows.give_up_all(RETRY_ELSEWHERE));
+            warn!(owed, attempts, "SIGTERM: answered unserved, since SIGKILL may come now");
+            while_within(GIVE_UP_WITHIN, || flows.attempts_out() > 0).await;
         }
         info!("SIGTERM: every request has its answer");
         while_within(KEEP_ANSWERS, || front.as_ref().is_some_and(|f| f.left() > 0)).await;
