--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -319,49 +319,12 @@
     }
 
     pub fn set_up(listed: Vec<(String, SocketAddr)>, settings: &str, setup: Setup) -> Rig {
-        let Setup {
-            operator,
-            more,
-            args,
-            kind,
-            inherit,
-            stops,
-            discovery: elsewhere,
-            knows_nothing,
-            listen,
-            on_start,
-            environment,
-        } = setup;
-        let kind = kind.unwrap_or("m");
         let list: Listing = Arc::new((Mutex::new((1, String::new(), 0, false)), Condvar::new()));
         let streams = Streams::default();
-        let discovery = elsewhere.unwrap_or_else(|| discovery(list.clone(), streams.clone()));
-        let dir = folder();
-        let mut config = config(&listed, kind, discovery, settings, !more.contains("limits")).replacen(
-            '{',
-            &format!("{{{more}"),
-            1,
-        );
-        if knows_nothing {
-            config = config.replacen("\"known\"", "\"known_before\"", 1);
-        }
-        std::fs::write(dir.join("config.json"), config).expect("a file");
-        let mut command = program();
-        command.env("GW_CONFIG", dir.join("config.json")).env("GW_DISCOVERY", discovery.to_string());
-        command.env("LINEROUTE_TEST_STOPS", stops).envs(environment);
-        command.envs(listen.map(|at| ("GW_LISTEN", at.to_string())));
-        if let Some(operator) = operator {
-            std::fs::write(dir.join("operator.json"), operator).expect("a file");
-            command.arg("--operator").arg(dir.join("operator.json"));
-        }
-        if let Some(socket) = inherit {
-            // Its own address is given as the one to listen at too: a bind of it would fail.
-            let at = socket.local_addr().expect("an address");
-            command.env("GW_FD", "3").env("GW_LISTEN", at.to_string());
-            let mapping = command_fds::FdMapping { parent_fd: socket.into(), child_fd: 3 };
-            command_fds::CommandFdExt::fd_mappings(&mut command, vec![mapping]).expect("no collision");
-        }
-        let mut child = command.args(args).spawn().expect("the program starts");
+        let discovery = setup.discovery.unwrap_or_else(|| discovery(list.clone(), streams.clone()));
+        let (dir, kind, on_start) = (folder(), setup.kind.unwrap_or("m"), setup.on_start);
+        let setup = Setup { discovery: Some(discovery), ..setup };
+        let mut child = command(&dir, &listed, settings, setup).spawn().expect("the program starts");
         on_start.iter().for_each(|told| told(child.id()));
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let (mut front, mut admin, mut peer, mut said) = (None, None, None, String::new());
@@ -616,6 +579,55 @@
     }
 }
 
+/// The program as a command, with its files in a folder.
+pub fn command(
+    dir: &std::path::Path,
+    listed: &[(String, SocketAddr)],
+    settings: &str,
+    setup: Setup,
+) -> Command {
+    let Setup {
+        operator,
+        more,
+        args,
+        kind,
+        inherit,
+        stops,
+        discovery,
+        knows_nothing,
+        listen,
+        environment,
+        ..
+    } = setup;
+    let (kind, discovery) = (kind.unwrap_or("m"), discovery.expect("discovery is somewhere"));
+    let mut config = config(listed, kind, discovery, settings, !more.contains("limits")).replacen(
+        '{',
+        &format!("{{{more}"),
+        1,
+    );
+    if knows_nothing {
+        config = config.replacen("\"known\"", "\"known_before\"", 1);
+    }
+    std::fs::write(dir.join("config.json"), config).expect("a file");
+    let mut command = program();
+    command.env("GW_CONFIG", dir.join("config.json")).env("GW_DISCOVERY", discovery.to_string());
+    command.env("LINEROUTE_TEST_STOPS", stops).envs(environment);
+    command.envs(listen.map(|at| ("GW_LISTEN", at.to_string())));
+    if let Some(operator) = operator {
+        std::fs::write(dir.join("operator.json"), operator).expect("a file");
+        command.arg("--operator").arg(dir.join("operator.json"));
+    }
+    if let Some(socket) = inherit {
+        // Its own address is given as the one to listen at too: a bind of it would fail.
+        let at = socket.local_addr().expect("an address");
+        command.env("GW_FD", "3").env("GW_LISTEN", at.to_string());
+        let mapping = command_fds::FdMapping { parent_fd: socket.into(), child_fd: 3 };
+        command_fds::CommandFdExt::fd_mappings(&mut command, vec![mapping]).expect("no collision");
+    }
+    command.args(args);
+    command
+}
+
 fn config(
     listed: &[(String, SocketAddr)],
     kind: &str,
--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -180,19 +180,32 @@
         process
     }
 
-    /// Starts a process; it listens when this returns, and may not say yes yet.
-    pub fn start_with(&self, setup: Setup) -> Process {
-        let console = free_port();
+    /// Starts a process that dies before it may listen; nobody waits for it.
+    pub fn start_unheard(&self, stops: &str, environment: Vec<(String, String)>) -> std::process::Child {
+        let setup = self.set_up(free_port(), Setup { stops, environment, ..Setup::default() });
+        super::command(&folder(), &self.workers.listed, &self.settings, setup)
+            .stderr(std::process::Stdio::null())
+            .spawn()
+            .expect("the program starts")
+    }
+
+    fn set_up<'a>(&self, console: SocketAddr, setup: Setup<'a>) -> Setup<'a> {
         let more = format!(r#"{}"admin_addr": "{console}", "name": "{}","#, setup.more, self.name);
         let mut environment = setup.environment.clone();
         environment.push(("TMPDIR".into(), self.temporary.to_str().expect("letters").to_owned()));
-        let setup = Setup {
+        Setup {
             more,
             environment,
             discovery: Some(self.discovery.addr),
             inherit: Some(self.socket.try_clone().expect("a socket")),
             ..setup
-        };
+        }
+    }
+
+    /// Starts a process; it listens when this returns, and may not say yes yet.
+    pub fn start_with(&self, setup: Setup) -> Process {
+        let console = free_port();
+        let setup = self.set_up(console, setup);
         let rig = Rig::set_up(self.workers.listed.clone(), &self.settings, setup);
         Process { rig, console }
     }
--- a/lab/fault-plan/src/lib.rs
+++ b/lab/fault-plan/src/lib.rs
@@ -35,11 +35,20 @@
     ShortRead,
     /// A write to a connection takes a part of what is offered.
     ShortWrite,
+    /// `write` to a regular file takes a part of what is offered, or fails with ENOSPC or EIO.
+    FileWrite,
 }
 
 /// Every call, in the order of their words.
-pub const CALLS: [Call; 6] =
-    [Call::Accept, Call::Socket, Call::Connect, Call::Wait, Call::ShortRead, Call::ShortWrite];
+pub const CALLS: [Call; 7] = [
+    Call::Accept,
+    Call::Socket,
+    Call::Connect,
+    Call::Wait,
+    Call::ShortRead,
+    Call::ShortWrite,
+    Call::FileWrite,
+];
 
 impl Call {
     /// The word of this call's rate.
--- a/lab/fault-shim/src/lib.rs
+++ b/lab/fault-shim/src/lib.rs
@@ -16,6 +16,7 @@
 const ACCEPT_ERRORS: [c_int; 4] = [libc::ECONNABORTED, libc::ENFILE, libc::EMFILE, libc::ENOBUFS];
 const SOCKET_ERRORS: [c_int; 3] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS];
 const CONNECT_ERRORS: [c_int; 2] = [libc::EADDRNOTAVAIL, libc::ENETUNREACH];
+const FILE_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
 /// What a reset may show as instead.
 const RESET_ERRORS: [c_int; 2] = [libc::ETIMEDOUT, libc::EHOSTUNREACH];
 const MILLISECONDS: i64 = 1000;
@@ -183,6 +184,32 @@
     shown(result)
 }
 
+/// Whether a descriptor is that of a regular file.
+fn is_file(descriptor: c_int) -> bool {
+    let before = error();
+    // SAFETY: all bytes of the structure may be zero, and the call fills it.
+    let is_file = unsafe {
+        let mut state: libc::stat = std::mem::zeroed();
+        libc::fstat(descriptor, &mut state) == 0 && state.st_mode & libc::S_IFMT == libc::S_IFREG
+    };
+    fail(before);
+    is_file
+}
+
+/// # Safety
+/// As write(2).
+#[no_mangle]
+pub unsafe extern "C" fn write(descriptor: c_int, from: *const c_void, size: size_t) -> ssize_t {
+    if size > 1 && is_file(descriptor) && plan::strikes(Call::FileWrite) {
+        // A part may be there when the disk is full.
+        if plan::below(2) == 0 {
+            (next::write())(descriptor, from, 1 + plan::below(size as u64 - 1) as size_t);
+        }
+        return fail(FILE_ERRORS[plan::below(2) as usize]) as ssize_t;
+    }
+    (next::write())(descriptor, from, size)
+}
+
 /// # Safety
 /// As readv(2).
 #[no_mangle]
--- a/lab/fault-shim/src/next.rs
+++ b/lab/fault-shim/src/next.rs
@@ -32,5 +32,6 @@
     send: unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
     readv: unsafe extern "C" fn(c_int, *const iovec, c_int) -> ssize_t;
     writev: unsafe extern "C" fn(c_int, *const iovec, c_int) -> ssize_t;
+    write: unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t;
     clock_gettime: unsafe extern "C" fn(libc::clockid_t, *mut timespec) -> c_int;
 }
