--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -182,7 +182,7 @@
 
     /// Starts a process that dies before it may listen; nobody waits for it.
     pub fn start_unheard(&self, stops: &str, environment: Vec<(String, String)>) -> std::process::Child {
-        let setup = self.set_up(free_port(), Setup { stops, environment, ..Setup::default() });
+        let setup = self.set_up(console_address(), Setup { stops, environment, ..Setup::default() });
         super::command(&folder(), &self.workers.listed, &self.settings, setup)
             .stderr(std::process::Stdio::null())
             .spawn()
@@ -204,7 +204,7 @@
 
     /// Starts a process; it listens when this returns, and may not say yes yet.
     pub fn start_with(&self, setup: Setup) -> Process {
-        let console = free_port();
+        let console = console_address();
         let setup = self.set_up(console, setup);
         let rig = Rig::set_up(self.workers.listed.clone(), &self.settings, setup);
         Process { rig, console }
@@ -231,9 +231,14 @@
     }
 }
 
-/// An address at which nobody listens.
-pub fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port")
+/// An address for a console at which nobody else listens: a loopback address of this test process alone. A port that the system
+/// chooses and that is free again may be another test's by the time at which it is bound.
+pub fn console_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let [_, _, high, low] = process.to_be_bytes();
+    let port = 15_000 + (number / 200) as u16;
+    ([127, 64 + high % 128, low, 1 + (number % 200) as u8], port).into()
 }
 
 /// One call at a console; nothing where nobody listens or the process ends.
--- a/dispatcher/tests/replacement.rs
+++ b/dispatcher/tests/replacement.rs
@@ -104,10 +104,41 @@
     sends_nothing_to_w0(&dispatcher, since, "answered while the new process starts")
 }
 
+/// A call back at either process lets the worker serve in each: jobs at once, more than the other worker gets alone.
+#[test]
+fn a_call_back_at_either_process_lets_the_worker_serve_in_both() {
+    let dispatcher = Dispatcher::with_settings(2, Conduct::Serves, &silent_settings());
+    let old = dispatcher.start();
+    let new = dispatcher.start();
+    for (cordoned_at, called_back_at) in [(&old, &new), (&new, &old)] {
+        assert!(cordoned_at.operator("cordon w0").starts_with("OK"));
+        assert!(called_back_at.operator("uncordon w0").starts_with("OK uncordoned"));
+        // Both processes accept these.
+        is_used_again(&dispatcher, "w0");
+    }
+    old.rig.terminate();
+    old.rig.logged("left to another process");
+    is_used_again(&dispatcher, "w0");
+}
+
+/// Jobs come at once, so that each worker has a share, until one comes to this worker.
+fn is_used_again(dispatcher: &Dispatcher, worker: &str) {
+    let since = Instant::now();
+    common::wait_until("the worker is sent to again", || {
+        let mut clients: Vec<Client> = (0..8).map(|_| Client::new(dispatcher.addr())).collect();
+        for (number, client) in clients.iter_mut().enumerate() {
+            let name = format!("{worker}-{}-{number}", since.elapsed().as_nanos());
+            client.post(&name, "quote", "X-Budget-Ms: 2000\r\n");
+        }
+        clients.iter_mut().for_each(|client| assert!([200, 503].contains(&client.answer().status())));
+        !dispatcher.workers.since(worker, since).is_empty()
+    });
+}
+
 /// One process: the attempt was decided before the answer, and its connection comes up behind it.
 fn answered_while_a_connection_comes_up() -> Result<(), String> {
     let mut closed = Closed::start();
-    let console = common::replacement::free_port();
+    let console = common::replacement::console_address();
     let settings = SETTINGS.replace(r#""connect_timeout_ms": 1000"#, r#""connect_timeout_ms": 6000"#);
     let more = format!(r#""admin_addr": "{console}", "name": "late{}","#, std::process::id());
     let temporary = common::folder();
