--- a/dispatcher/src/siblings/mod.rs
+++ b/dispatcher/src/siblings/mod.rs
@@ -209,7 +209,9 @@
 
 /// The parts of this process that siblings' calls concern.
 pub struct ProcessParts<'a> {
+    /// What operators have set.
     pub overrides: &'a Overrides,
+    /// The attempts that are out.
     pub targets: &'a HttpTargets,
     /// It can serve clients.
     pub is_up: bool,
--- a/dispatcher/src/siblings/protocol.rs
+++ b/dispatcher/src/siblings/protocol.rs
@@ -28,6 +28,7 @@
 pub struct Call {
     /// Of the process that is called.
     pub token: String,
+    /// What is asked.
     pub request: Request,
 }
 
@@ -49,6 +50,7 @@
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Answer {
+    /// All overrides, as lines of their log.
     Overrides(Vec<String>),
     /// The overrides are in force there.
     Merged,
@@ -56,6 +58,7 @@
     Taken,
     /// It is not.
     NotOurs,
+    /// What the process is at.
     State(State),
 }
 
--- a/dispatcher/src/stop.rs
+++ b/dispatcher/src/stop.rs
@@ -56,7 +56,8 @@
 }
 
 impl Running {
-    /// Takes nothing new, answers what was taken, and says goodbye. What it still owes when the platform kills the process is lost.
+    /// Takes nothing new, answers what was taken before the platform may kill the process, and ends its connections. Dropped, it leaves
+    /// off where it was.
     pub async fn stop(self) {
         let Running { flows, phase, front, fleet, siblings, serving, slots, longest_deadline } = self;
         info!(flows = flows.owed(), "SIGTERM: stopping");
--- a/dispatcher/src/store/mod.rs
+++ b/dispatcher/src/store/mod.rs
@@ -279,7 +279,9 @@
 
 /// What operators have set, kept up to date by the log.
 pub struct LoggedOperatorState {
+    /// The log.
     pub store: Store,
+    /// The table that it is brought into.
     pub overrides: Overrides,
 }
 
--- a/dispatcher/tests/common/faults.rs
+++ b/dispatcher/tests/common/faults.rs
@@ -11,14 +11,11 @@
 /// Every call of a sort fails.
 pub const ALWAYS: u64 = 1000;
 
-/// The shim, built here where nobody has built it yet.
+/// The shim, built here: tests alone do not build it, and one that an earlier build left may lack calls.
 pub fn shim() -> &'static Path {
     static SHIM: OnceLock<PathBuf> = OnceLock::new();
     SHIM.get_or_init(|| {
         let program = Path::new(env!("CARGO_BIN_EXE_lineroute"));
-        if let Ok(found) = lineroute_lab::fault_plans::shim_beside(program) {
-            return found;
-        }
         let mut build = Command::new(env!("CARGO"));
         build.args(["build", "--locked", "--package", "lineroute-fault-shim"]);
         if program.parent().is_some_and(|dir| dir.ends_with("release")) {
