A test that cold workers that report nothing are used as well (failing)

The test stands beside the cold ramp, whose model now tells starts of jobs where the settings say so.

--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -14,6 +14,8 @@
 const SECOND: Micros = 1000 * MS;
 /// Sizes of tiers that are drawn from.
 const TIERS: [u32; 6] = [2, 8, 20, 30, 100, 300];
+/// Sizes at which an instance sees several jobs run at one worker at once.
+const SMALL_TIERS: [u32; 4] = [1, 2, 4, 6];
 /// Workers turn work away when this many times their slots wait.
 const QUEUE_PER_SLOT: usize = 4;
 /// How long an answer takes that costs no work.
@@ -146,8 +148,8 @@
         Server { started, free_at: vec![0; slots], waiting: vec![], received: vec![] }
     }
 
-    /// When the job ends; `None`: no room.
-    fn take(&mut self, now: Micros, work: f64) -> Option<Micros> {
+    /// When the job begins and ends; `None`: no room.
+    fn take(&mut self, now: Micros, work: f64) -> Option<(Micros, Micros)> {
         self.waiting.retain(|&begins| begins > now);
         if self.waiting.len() >= self.free_at.len() * QUEUE_PER_SLOT {
             return None;
@@ -158,7 +160,7 @@
         if begins > now {
             self.waiting.push(begins);
         }
-        Some(*slot)
+        Some((begins, *slot))
     }
 
     fn report(&mut self, now: Micros) -> Report {
@@ -186,6 +188,8 @@
     Arrival,
     /// A timer of an instance's process.
     Timer(usize, u32, u64),
+    /// The start of an attempt is told: instance, process, request, attempt.
+    Begun(usize, u32, String, u32),
     /// An attempt ends: instance, process, request, attempt, time since its send, worker; served or turned away.
     End(usize, u32, String, u32, Micros, u32, bool),
     List(usize, u32),
@@ -300,6 +304,10 @@
         match happening {
             Happening::Arrival => self.arrive(),
             Happening::Timer(instance, number, token) => self.feed(instance, number, Event::Timer(token)),
+            Happening::Begun(instance, number, id, attempt) => {
+                let id = RequestId(id.as_str().into());
+                self.feed(instance, number, Event::Begun(id, AttemptNo(attempt)));
+            }
             Happening::End(instance, number, id, attempt, spent, worker, served) => {
                 let report = self.servers.get_mut(&worker).expect("a worker").report(self.now);
                 let report = Some(report).filter(|_| self.scenario.settings.report == ReportSource::Answers);
@@ -396,14 +404,17 @@
         let attempt = std::mem::replace(attempts, *attempts + 1);
         let server = self.servers.get_mut(&worker).expect("a worker");
         let told = server.started.is_some() && process.told.get(&worker) == server.started.as_ref();
-        let end = server.take(self.now, work);
+        let taken = server.take(self.now, work);
         if told {
             server.received.push((self.now, foreseen));
             self.check(worker);
         }
-        let at = end.unwrap_or(self.now) + ROUND_TRIP;
+        if let Some((begins, _)) = taken.filter(|_| self.scenario.settings.tells_start) {
+            self.at(begins + ROUND_TRIP, Happening::Begun(instance, number, id.to_owned(), attempt));
+        }
+        let at = taken.map_or(self.now, |(_, ends)| ends) + ROUND_TRIP;
         let spent = at - self.now;
-        self.at(at, Happening::End(instance, number, id.to_owned(), attempt, spent, worker, end.is_some()));
+        self.at(at, Happening::End(instance, number, id.to_owned(), attempt, spent, worker, taken.is_some()));
     }
 
     /// Part of its capacity that a worker of the present process has.
@@ -473,30 +484,50 @@
     }
 }
 
+/// Seeds of small tiers, each played with reports and without.
+const SMALL_DRAWS: u64 = 16;
+
 /// Seeds played, beside `ONCE_BROKEN`; the variable asks for more, to measure.
 fn draws() -> u64 {
     std::env::var("COLD_RAMP_DRAWS").ok().and_then(|draws| draws.parse().ok()).unwrap_or(12)
 }
 
+/// A tier of a few instances, whose workers report their load, or tell when a job begins and nothing else.
+fn small_tier(seed: u64, report: ReportSource) -> Scenario {
+    let mut scenario = Scenario::drawn(seed);
+    scenario.settings.instances = SMALL_TIERS[seed as usize % SMALL_TIERS.len()];
+    scenario.settings.report = report;
+    scenario.settings.tells_start = report == ReportSource::Silent;
+    scenario
+}
+
 /// Three classes of far different cost, and seven in ten of a hundred instances started anew at once: each class had
 /// grants of its own, and a new process had those again that its predecessor had used.
 const ONCE_BROKEN: u64 = 119;
 /// A key that was seldom served is held to cost what its class does, and here keys cost up to four times as much.
 const UNKNOWN_KEYS: f64 = 2.0;
 
-#[test]
-fn a_tier_of_any_size_stays_within_a_cold_workers_budget() {
-    let seeds = (0..draws()).chain([ONCE_BROKEN]);
-    let played: Vec<(u64, Scenario, Figures)> = std::thread::scope(|scope| {
-        let one = |seed| {
-            let scenario = Scenario::drawn(seed);
-            (seed, scenario.clone(), Run::new(scenario, seed).play())
-        };
-        let runs: Vec<_> = seeds.map(|seed| scope.spawn(move || one(seed))).collect();
+/// Plays a scenario for each seed, side by side.
+fn play_each(
+    seeds: impl Iterator<Item = u64>,
+    drawn: impl Fn(u64) -> Scenario,
+) -> Vec<(u64, Scenario, Figures)> {
+    std::thread::scope(|scope| {
+        let one = |seed, scenario: Scenario| (seed, scenario.clone(), Run::new(scenario, seed).play());
+        let runs: Vec<_> = seeds
+            .map(|seed| {
+                let scenario = drawn(seed);
+                scope.spawn(move || one(seed, scenario))
+            })
+            .collect();
         runs.into_iter().map(|run| run.join().expect("a run")).collect()
-    });
+    })
+}
+
+/// Prints what the draws came to, by size and sort.
+fn print_sums(played: &[(u64, Scenario, Figures)]) {
     let mut sums: BTreeMap<String, Sum> = BTreeMap::new();
-    for (_, scenario, result) in &played {
+    for (_, scenario, result) in played {
         let size = format!("{:3} instances", scenario.settings.instances);
         let keys = if scenario.keys.is_empty() { "no keys" } else { "keys" };
         for sort in ["all", &size, keys] {
@@ -510,9 +541,34 @@
             sum.draws, sum.broken, sum.worst, sum.over, sum.spans, sum.use_of_cold / n, sum.served / n
         );
     }
+}
+
+#[test]
+fn a_tier_of_any_size_stays_within_a_cold_workers_budget() {
+    let seeds = (0..draws()).chain([ONCE_BROKEN]);
+    let played = play_each(seeds, Scenario::drawn);
+    print_sums(&played);
     for (seed, scenario, result) in &played {
         let most = if scenario.keys.is_empty() { 1.0 } else { UNKNOWN_KEYS };
         assert!(result.worst <= most, "seed {seed}: {result:?} in {scenario:?}");
         assert!(result.used > 0.0, "seed {seed}: cold workers are used");
     }
 }
+
+/// Cold workers that report nothing, and tell when a job begins, get far less than cold workers that report.
+#[test]
+fn workers_that_report_nothing_are_used_while_cold_and_within_their_budget() {
+    let reporting = play_each(0..SMALL_DRAWS, |seed| small_tier(seed, ReportSource::Answers));
+    let silent = play_each(0..SMALL_DRAWS, |seed| small_tier(seed, ReportSource::Silent));
+    print_sums(&reporting);
+    print_sums(&silent);
+    let used = |played: &[(u64, Scenario, Figures)]| {
+        played.iter().map(|(_, _, result)| (result.used / result.capacity).min(1.0)).sum::<f64>()
+    };
+    for (seed, scenario, result) in &silent {
+        let most = if scenario.keys.is_empty() { 1.0 } else { UNKNOWN_KEYS };
+        assert!(result.worst <= most, "seed {seed}: {result:?} in {scenario:?}");
+    }
+    let (of_silent, of_reporting) = (used(&silent), used(&reporting));
+    assert!(of_silent >= of_reporting / 2.0, "{of_silent:.2} of {of_reporting:.2}");
+}
