One account of a cold worker's budget over all classes, which starts empty with the process

Cause: grants were counted by the job's own size, so each class had grants of its own; what was sent was forgotten after half the rule's span; a process that started anew had the grants of the half span before its start once more. Why the mend holds: what a job takes beyond the own part is an overdraft over all sizes, and no further job goes before growth has paid it back; growth counts from the first list of the process, so that an earlier one's grants are held to be used.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,6 +6,7 @@
 
 use crate::admission::Admission;
 use crate::api::*;
+use crate::slow_start::ColdBudget;
 use crate::state::*;
 use fastrand::Rng;
 use lru::LruCache;
@@ -32,8 +33,6 @@
 const MAX_SUSPICION: f64 = 6.0;
 /// The longest first bar, in usual response times: no worker is done without for good.
 const LONGEST_BAR: f64 = 16.0;
-/// Part of the cold budget that is used: the rest allows for chance and for unusually large work.
-const COLD_MARGIN: f64 = 0.6;
 /// Held requests are looked at so many times in the shortest aim.
 const TICKS_PER_AIM: Micros = 4;
 /// A job is overdue when nothing came of it for so many usual response times, or 1.25 progress intervals.
@@ -461,22 +460,23 @@
         r.unwrap_or(self.class_time[job.request.class.0]) * job.request.slots.max(1.0)
     }
 
-    /// Rule 4: what all instances may send a cold worker grows with its age; an even part is often less
-    /// than a job. So each may send one when its part, from a start drawn by lot, has grown by a job, within
-    /// half the rule's span: nothing is saved up; all send one and a half spans' worth at most, on average.
+    /// Rule 4: whether this instance's part of a cold worker's budget has room for the job.
     fn cold_allows(&self, job: &Job, ix: Ix) -> bool {
-        let (w, rules) = (&self.fleet.workers[ix], &self.settings.rules);
-        let (since, cost, span) = (w.since.unwrap_or(0), self.slot_time(job, ix), rules.overload_for / 2);
-        let slots = self.fleet.kind_slots.get(&w.entry.kind).copied().unwrap_or(1.0);
-        let rate = rules.overload_factor * COLD_MARGIN * slots / f64::from(self.settings.instances);
-        let lot = Rng::with_seed(self.lot ^ since.rotate_left(32) ^ u64::from(w.entry.worker.0)).f64();
-        let jobs = |at: Micros| {
-            let age = at.saturating_sub(since) as f64;
-            let capacity = rules.cold_from + (1.0 - rules.cold_from) * age / (2.0 * rules.warm_up as f64);
-            (rate * capacity * age / cost + lot).floor()
-        };
-        let spent = if self.now <= w.cold.0 + span { w.cold.1 } else { 0.0 };
-        jobs(self.now) - jobs(self.now.saturating_sub(span)) >= 1.0 + spent / cost
+        let w = &self.fleet.workers[ix];
+        let budget = self.cold_budget(ix);
+        let seed = self.lot ^ budget.started.rotate_left(32) ^ u64::from(w.entry.worker.0);
+        let phase = Rng::with_seed(seed).f64();
+        budget.allows(self.slot_time(job, ix), phase, self.fleet.known_since, w.overdraft, self.now)
+    }
+
+    fn cold_budget(&self, ix: Ix) -> ColdBudget<'_> {
+        let w = &self.fleet.workers[ix];
+        ColdBudget {
+            rules: &self.settings.rules,
+            started: w.since.unwrap_or(0),
+            slots: self.fleet.kind_slots.get(&w.entry.kind).copied().unwrap_or(1.0),
+            instances: self.settings.instances,
+        }
     }
 
     /// Candidates of the next look: the first in the design's order. While own jobs of the type are fewer
@@ -699,14 +699,12 @@
     fn send(&mut self, id: &RequestId, ix: Ix) {
         let Some(job) = self.jobs.get(id).filter(|job| self.may_send(job, ix)) else { return };
         let age = self.fresh_for(job.request.class.0);
-        let (cost, span) = (self.slot_time(job, ix), self.settings.rules.overload_for / 2);
+        let cost = self.slot_time(job, ix);
+        let overdraft = self.cold_budget(ix).sent(cost, self.fleet.workers[ix].overdraft, self.now);
         let (Some(job), w) = (self.jobs.get_mut(id), &mut self.fleet.workers[ix]) else { return };
         let awaited = w.mute < MUTE_AFTER;
         w.sent(job.request.slots, awaited, self.now, self.settings.allowed.keepalive);
-        if self.now > w.cold.0 + span {
-            w.cold = (self.now, 0.0);
-        }
-        w.cold.1 += cost;
+        w.overdraft = overdraft;
         if std::mem::replace(&mut job.held, false) {
             self.held.retain(|h| h != id);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod api;
 mod balance;
+mod slow_start;
 mod state;
 
 pub use api::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use crate::balance::{
     FOREIGN_PART, MUTE_AFTER, PRIOR_JOBS, PROFILE_SPAN, RATE_SPAN_S, REPORT_LAG, ROOM_FALL, ROOM_RISE,
 };
+use crate::slow_start::Overdraft;
 use lru::LruCache;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
@@ -146,8 +147,8 @@
     /// Own slots there, averaged over about the age of a report, and when that was last brought on.
     pub own: (f64, Micros),
     pub shunned: Micros,
-    /// When a span of half the rule's began, and the slot time sent since.
-    pub cold: (Micros, f64),
+    /// What was sent there beyond this instance's part of its budget while it is cold.
+    pub overdraft: Overdraft,
 }
 
 /// What a bar in `Fleet::bars` is for: a worker, a class there, or a tenant's jobs of a class there.
@@ -160,6 +161,8 @@
     pub index: FxHashMap<WorkerId, Ix>,
     /// Ready workers of each class's kind, and how often these lists were made anew.
     pub ready: Vec<Vec<Ix>>,
+    /// When the first list came: what was sent before is not known. `Micros::MAX`: none has come.
+    pub known_since: Micros,
     /// Candidates that were cold when these lists were made.
     pub cold: Vec<Ix>,
     /// Classes whose every candidate is barred by operators.
@@ -310,6 +313,7 @@
             workers: Slab::new(),
             index: FxHashMap::default(),
             ready: vec![Vec::new(); classes],
+            known_since: Micros::MAX,
             cold: Vec::new(),
             shut: vec![false; classes],
             weights: FxHashMap::default(),
@@ -338,6 +342,7 @@
         now: Micros,
     ) -> bool {
         let mut changed = false;
+        self.known_since = self.known_since.min(now);
         if kind != ListKind::Delta {
             let named: FxHashSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
             for (_, w) in self.workers.iter_mut().filter(|(_, w)| !named.contains(&w.entry.worker)) {
--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -543,6 +543,11 @@
     }
 }
 
+/// A cold worker's budget was counted for each class by itself, and forgotten after half the rule's span; and a process that
+/// started anew drew a new lot and had the grants of the half span before its start once more. So all processes together sent
+/// a cold worker up to 1.34 times its bound. Seed 119 showed it (100 instances, seven in ten started anew, three classes of far
+/// different cost): 50 of 2219 spans over the bound, the worst at 1.34; 0 of 13 draws with one account over all classes, which
+/// counts from the process's first list on.
 #[test]
 fn a_tier_of_any_size_stays_within_a_cold_workers_budget() {
     let seeds = (0..draws()).chain([ONCE_BROKEN]);
