A test that admin calls which can't be read are answered in words (failing)

Symptom: a call to the admin listener without Host (HTTP/1.1 asks for one), with two, that is no request, or whose head does not come in time or has no end, is answered with its status and an empty body, where all other faults are told as JSON with their field. Six cases, all fail.

--- a/dispatcher/tests/admin.rs
+++ b/dispatcher/tests/admin.rs
@@ -82,6 +82,31 @@
     assert_eq!((&flows["open"], &flows["classes"]["quote"]), (&json!(0), &json!(0)));
 }
 
+/// What the HTTP library refuses by itself is answered as any other call that can't be followed: in words, with the field where
+/// one is to blame.
+#[rstest]
+#[case::no_host("GET /overrides HTTP/1.1\r\n\r\n", 400, Some("Host"))]
+#[case::two_hosts("GET /overrides HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, None)]
+#[case::no_request("nonsense\r\n\r\n", 400, None)]
+#[case::half_a_head("GET /overrides HTTP/1.1\r\nHost: a\r\n", 408, None)]
+#[case::not_a_word("", 408, None)]
+#[case::a_head_without_end(&"GET /overrides HTTP/1.1\r\n".repeat(20_000), 400, None)]
+fn a_call_that_cannot_be_read_is_answered_in_words(
+    #[case] bytes: &str,
+    #[case] status: u16,
+    #[case] field: Option<&str>,
+) {
+    let rig = rig(1, SETTINGS, "");
+    let mut client = Client::new(rig.admin.expect("an admin listener"));
+    client.write(bytes.as_bytes());
+    let answer = client.answer();
+    assert_eq!(answer.status(), status, "{answer:?}");
+    let words: Value = serde_json::from_str(&answer.body).expect("JSON");
+    assert!(words["error"].as_str().is_some_and(|words| !words.is_empty()), "{words}");
+    assert_eq!(words["field"].as_str(), field, "{words}");
+    assert!(client.is_ended());
+}
+
 /// Those who say nothing, or say it slowly, have an end; others and clients are served meanwhile.
 #[test]
 fn slow_and_silent_callers_are_bounded_and_hold_up_nobody() {
