Admin calls that can't be read are answered in words, as all others

What callers saw: a call to the admin listener without Host got 400 with an empty body, as did one that is no request, and 408 one whose head did not come in time: nothing said what was wrong. Cause: the HTTP library answers what it can't read itself, before the listener's code. Why the mend holds: every answer of the listener has a body and one call is taken on a connection, so a first answer without one is the library's; it is replaced on its way out, with the field where Host is missing.

--- a/dispatcher/src/admin/mod.rs
+++ b/dispatcher/src/admin/mod.rs
@@ -6,6 +6,7 @@
 pub mod auth;
 mod calls;
 pub mod console;
+mod refusals;
 
 pub use calls::Calls;
 
@@ -18,6 +19,7 @@
 use bytes::{Bytes, BytesMut};
 use calls::{fault, Reply};
 use futures_util::StreamExt;
+use refusals::WordedRefusals;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
@@ -128,7 +130,7 @@
             let this = this.clone();
             async move { Ok::<_, Infallible>(this.handle(request).await) }
         };
-        let factory = HttpService::<Box<dyn Io>, _, _>::build()
+        let factory = HttpService::<WordedRefusals<Box<dyn Io>>, _, _>::build()
             .keep_alive(KeepAlive::Disabled)
             .client_request_timeout(WHOLE_WITHIN)
             .on_connect_ext(|_, data| {
@@ -158,7 +160,7 @@
             actix_rt::spawn(async move {
                 let served = async {
                     match taken {
-                        true => drop(service.call((stream, None)).await),
+                        true => drop(service.call((WordedRefusals::new(stream), None)).await),
                         false => drop(stream.write_all(NO_ROOM).await),
                     }
                 };
--- /dev/null
+++ b/dispatcher/src/admin/refusals.rs
@@ -0,0 +1,126 @@
+//! Answers that the HTTP library gives by itself to calls that it can't read, put into words.
+//!
+//! Such calls never reach [`super::Front`]: the library writes a status with an empty body and ends the connection. Every
+//! answer of the admin listener has a body, so an empty one is the library's.
+
+use super::api::Fault;
+use std::io;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// How the head of an answer without a body says so.
+const EMPTY_BODY: &[u8] = b"content-length: 0\r\n";
+/// So much of a call is kept to tell what was wrong with it.
+const KEPT_BYTES: usize = 4 << 10;
+
+/// A connection on which the library's own refusals get a body.
+pub struct WordedRefusals<T> {
+    io: T,
+    /// The beginning of the call.
+    call: Vec<u8>,
+    /// Something has been answered: one call is taken on a connection, and the first bytes are those of its answer.
+    has_answered: bool,
+    /// What is to be written in place of a refusal.
+    rest: Vec<u8>,
+}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> WordedRefusals<T> {
+    pub fn new(io: T) -> Self {
+        WordedRefusals { io, call: Vec::new(), has_answered: false, rest: Vec::new() }
+    }
+
+    /// Writes what stands in place of a refusal. Dropped between two calls, it has written a part.
+    fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.rest.is_empty() {
+            let written = ready!(Pin::new(&mut self.io).poll_write(cx, &self.rest))?;
+            if written == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            self.rest.drain(..written);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> AsyncRead for WordedRefusals<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        let room = KEPT_BYTES - self.call.len();
+        let come = &buf.filled()[before..];
+        self.call.extend_from_slice(&come[..come.len().min(room)]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> AsyncWrite for WordedRefusals<T> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        ready!(self.poll_rest(cx))?;
+        if std::mem::replace(&mut self.has_answered, true) {
+            return Pin::new(&mut self.io).poll_write(cx, bytes);
+        }
+        let Some(worded) = worded(bytes, &self.call) else {
+            return Pin::new(&mut self.io).poll_write(cx, bytes);
+        };
+        self.rest = worded;
+        // What does not go out now goes with the next write, flush or end.
+        if let Poll::Ready(Err(e)) = self.poll_rest(cx) {
+            return Poll::Ready(Err(e));
+        }
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_rest(cx))?;
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_rest(cx))?;
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
+
+/// The refusal with a body, if these bytes are one without; `call` is the beginning of what was refused.
+fn worded(answer: &[u8], call: &[u8]) -> Option<Vec<u8>> {
+    let is_empty = answer.windows(EMPTY_BODY.len()).any(|bytes| bytes == EMPTY_BODY);
+    let status_line = answer.split(|byte| *byte == b'\r').next().filter(|_| is_empty)?;
+    let status_line = std::str::from_utf8(status_line).ok()?;
+    let status = status_line.split(' ').nth(1)?;
+    let body = serde_json::to_string(&fault(status, call)).ok()? + "\n";
+    let head = format!(
+        "{status_line}\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    Some((head + &body).into_bytes())
+}
+
+fn fault(status: &str, call: &[u8]) -> Fault {
+    let (error, field) = match status {
+        "400" if is_whole(call) && !has_host(call) => {
+            ("the field is missing: HTTP/1.1 asks for it", Some("Host"))
+        }
+        "400" => ("the call can't be read as HTTP/1.1", None),
+        "408" => ("the head did not come in time", None),
+        "431" => ("the head is too large", None),
+        _ => ("the call was refused", None),
+    };
+    Fault { error: error.into(), field: field.map(Into::into) }
+}
+
+/// Whether a request line and the end of a head are among these bytes.
+fn is_whole(call: &[u8]) -> bool {
+    let first = call.split(|byte| *byte == b'\r').next().unwrap_or_default();
+    first.ends_with(b"HTTP/1.1") && call.windows(4).any(|bytes| bytes == b"\r\n\r\n")
+}
+
+fn has_host(call: &[u8]) -> bool {
+    const NAME: &[u8] = b"host:";
+    let mut lines = call.split(|byte| *byte == b'\n');
+    lines.any(|line| line.len() >= NAME.len() && line[..NAME.len()].eq_ignore_ascii_case(NAME))
+}
