--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,10 +13,6 @@
 use rustc_hash::FxHashMap;
 use std::{cmp::Ordering, collections::BTreeSet, num::NonZeroUsize, sync::Arc};
 
-/// Served jobs that a profile looks back on, about. Long, since run times have heavy tails.
-pub const PROFILE_SPAN: f32 = 24.0;
-/// Weight of the borrowed median in a young profile, in jobs: damps the first few times measured.
-pub const PRIOR_JOBS: f32 = 2.0;
 /// A key is a type of its own after so many served jobs; until then its class stands for it.
 const KEY_JOBS: u32 = 16;
 /// Keys remembered; the one unused longest gives way.
@@ -51,25 +47,15 @@
 const DOUBT: f64 = 0.5;
 /// Held jobs wait this many slacks, over their worth, for later ones. Guards short ones in a shortage.
 const SLACKS: f64 = 4.0;
-/// What others hold at a worker follows what reports tell by this part; those are of about so long ago.
-pub const FOREIGN_PART: f64 = 0.3;
-pub const REPORT_LAG: f64 = 1e6;
-/// Seconds that a rate of requests looks back.
-pub const RATE_SPAN_S: f64 = 4.0;
 /// An instance has little traffic when so many times its open requests are fewer than the workers.
 const LITTLE: usize = 4;
 /// So many reports in a row without the job that was sent there a tick before are no chance.
 const MISSED: u32 = 2;
-/// By how much the own jobs that fit at a worker fall when one waited, and rise when one more began at once.
-pub const ROOM_FALL: f64 = 0.5;
-pub const ROOM_RISE: f64 = 0.25;
 /// A broken connection may be alone in that: it is this part of a symptom. Dead: so many probes have failed.
 const BROKEN_PART: f64 = 0.4;
 const DEAD_AFTER: u32 = 2;
 /// A job that waited there says that a worker is full for this part of its wait: slots may be free then.
 const BAR_PART: Micros = 4;
-/// A worker that served so many jobs in a row without telling of their start tells of none.
-pub const MUTE_AFTER: u32 = 3;
 /// So many times what was held to fit at a worker of a size began at once: then more fit by that factor.
 const FAR_MORE: f64 = 1.5;
 const FIT_RISE: f64 = 1.1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,15 +1,26 @@
 //! The state that decisions rest on, and its upkeep. What is concluded from it is in `src/balance.rs`.
 
 use crate::api::*;
-use crate::balance::{
-    FOREIGN_PART, MUTE_AFTER, PRIOR_JOBS, PROFILE_SPAN, RATE_SPAN_S, REPORT_LAG, ROOM_FALL, ROOM_RISE,
-};
 use crate::slow_start::Overdraft;
 use lru::LruCache;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
 use std::num::NonZeroUsize;
 
+/// Served jobs that a profile looks back on, about. Long, since run times have heavy tails.
+pub const PROFILE_SPAN: f32 = 24.0;
+/// Weight of the borrowed median in a young profile, in jobs: damps the first few times measured.
+pub const PRIOR_JOBS: f32 = 2.0;
+/// What others hold at a worker follows what reports tell by this part; those are of about so long ago.
+pub const FOREIGN_PART: f64 = 0.3;
+pub const REPORT_LAG: f64 = 1e6;
+/// Seconds that a rate of requests looks back.
+pub const RATE_SPAN_S: f64 = 4.0;
+/// By how much the own jobs that fit at a worker fall when one waited, and rise when one more began at once.
+pub const ROOM_FALL: f64 = 0.5;
+pub const ROOM_RISE: f64 = 0.25;
+/// A worker that served so many jobs in a row without telling of their start tells of none.
+pub const MUTE_AFTER: u32 = 3;
 /// How long a refusal that a peer met keeps jobs away: the list tells of a drain within seconds.
 const SHUNNED: Micros = 1_000_000;
 /// Hints that stop coming are gone by for so long.
