--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -575,9 +575,24 @@
         played.iter().map(|(_, _, result)| (result.used / result.capacity).min(1.0)).sum::<f64>()
     };
     for (seed, scenario, result) in &silent {
-        let most = if scenario.keys.is_empty() { 1.0 } else { UNKNOWN_KEYS };
-        assert!(result.worst <= most, "seed {seed}: {result:?} in {scenario:?}");
+        assert!(result.worst <= 1.0, "seed {seed}: {result:?} in {scenario:?}");
     }
     let (of_silent, of_reporting) = (used(&silent), used(&reporting));
     assert!(of_silent >= of_reporting / 2.0, "{of_silent:.2} of {of_reporting:.2}");
 }
+
+/// Draws in which jobs with keys go over the bound: some cost many times what their class does, and are known to (63), or are
+/// not, since a key is seldom served (78) or the process has just started and knows only jobs that ended soon (175: jobs of
+/// 294 ms in the mean are held to take 46 to 164 ms).
+const KEYS_OVER_THE_BOUND: [u64; 3] = [63, 78, 175];
+
+/// Jobs with keys keep to the same budget as all others.
+#[test]
+fn jobs_with_keys_keep_to_a_cold_workers_budget() {
+    let played = play_each(KEYS_OVER_THE_BOUND.into_iter(), Scenario::drawn);
+    print_sums(&played);
+    let over =
+        |(seed, _, result): &(u64, Scenario, Figures)| (result.worst > 1.0).then_some((*seed, result.worst));
+    let over: Vec<(u64, f64)> = played.iter().filter_map(over).collect();
+    assert!(over.is_empty(), "seeds and parts of the bound: {over:.2?}");
+}
