A call behind an answer that could not be read counts as no turn at discovery

By reading the mend of the refused crowd: a call that is made again at once behind a spoilt answer may carry on the watch which that answer ended, and take no turn; its time would be taken for a turn's cost, far too low, and refusals of a slow discovery would keep an old list valid again.

--- a/dispatcher/src/list/watch.rs
+++ b/dispatcher/src/list/watch.rs
@@ -28,7 +28,14 @@
 /// Watches discovery, wherever it stands now, from the start on: the first request need not wait for the list. Never ends.
 pub async fn watch(source: ListSource, schedule: WatchSchedule) {
     let asked_at = *source.discovery.borrow();
-    let mut watcher = Watcher { after: source.known, asked_at, wait: Duration::ZERO, with: source, schedule };
+    let mut watcher = Watcher {
+        after: source.known,
+        asked_at,
+        wait: Duration::ZERO,
+        was_unreadable: false,
+        with: source,
+        schedule,
+    };
     loop {
         // The first call is answered at once, so that the module knows where it stands; the next ones wait.
         watcher.wait = Duration::ZERO;
@@ -47,6 +54,8 @@
     asked_at: Option<SocketAddr>,
     /// How long the next call waits for news.
     wait: Duration,
+    /// The last answer could not be read. The next call may carry on the watch that it ended, and take no turn.
+    was_unreadable: bool,
 }
 
 impl Watcher {
@@ -106,12 +115,14 @@
         debug!(version, lines, full = list.full, took_ms, "discovery: a list came");
         take(flows, names, &list, list.kind());
         monitor.has_version(version);
-        if self.wait.is_zero() {
+        if self.wait.is_zero() && !std::mem::take(&mut self.was_unreadable) {
             monitor.answered_in_turn(asked.into());
-            reports.answered(version);
         } else {
             monitor.answered(asked.into());
         }
+        if self.wait.is_zero() {
+            reports.answered(version);
+        }
         self.schedule.answered();
         if self.schedule.takes_turn_anew(self.with.monitor.crowd_outlasts_bound()) {
             self.wait = Duration::ZERO;
@@ -131,7 +142,8 @@
         warn!(discovery = %at, error = %no_list, took_ms, waited_ms, "discovery: no list came");
         let failure = no_list.failure();
         monitor.failed(asked.into(), failure);
-        if matches!(no_list, NoList::Unreadable(_)) {
+        self.was_unreadable = matches!(no_list, NoList::Unreadable(_));
+        if self.was_unreadable {
             self.after = None;
         }
         let failed = FailedCall { watched: !self.wait.is_zero(), failure, took: took_ms };
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -7,7 +7,7 @@
 
 use crate::api::{Micros, Rules};
 
-/// Part of the budget that is used: the rest allows for chance and for unusually large work. Chosen.
+/// Part of the budget that is used: the rest allows for chance and for unusually large work.
 const BUDGET_MARGIN: f64 = 0.6;
 
 /// What an instance has sent to a worker beyond its part, as slot time, and as of when.
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,8 +29,7 @@
 /// Index of a worker in `Fleet::workers`; it stays with a worker as long as that is remembered.
 pub type Ix = usize;
 
-/// Words of the end of a job and of the start of the next one at the same slot may come in either order, within this. Chosen:
-/// many round trips.
+/// The end of a job and the start of the next one in the same slot may be told in either order, within this.
 const WORDS_CROSS_WITHIN: Micros = 50_000;
 
 /// Average response time of the served jobs of one type at one worker, and how many are out there now.
