--- a/dispatcher/tests/soak.rs
+++ b/dispatcher/tests/soak.rs
@@ -41,19 +41,25 @@
 /// start, so that most dispatchers were answered behind others; what a turn costs they learn before the outage.
 #[test]
 fn a_long_outage_stops_no_tier_whose_crowds_are_short() {
-    let verdict = play("long-outage.json", false);
+    let verdict = play("long-outage.json", false, 1);
     assert_eq!(verdict.broken, []);
     assert_eq!((verdict.figures.refused, verdict.figures.served), (0, verdict.figures.jobs));
 }
 
+/// Members stand still again and again, for 0.4 s each and for 2.5 s, and run for a moment between.
+#[test]
+fn what_outlasts_two_hold_ups_is_told_no_more_time_than_is_left() {
+    assert_eq!(play("stops-in-a-row.json", false, 3).broken, []);
+}
+
 fn crowd_sends_by_no_old_list(talk: bool) {
-    assert_eq!(play("refusing-crowd.json", talk).broken, []);
+    assert_eq!(play("refusing-crowd.json", talk, 1).broken, []);
 }
 
 /// Plays a scenario of the lab, whose dispatchers may talk or not.
-fn play(scenario: &str, talk: bool) -> Verdict {
+fn play(scenario: &str, talk: bool, seed: u64) -> Verdict {
     let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../lab/scenarios").join(scenario);
     let scenario = Scenario { talk, ..Scenario::read(&path).expect("a scenario") };
-    let setup = Setup { program: PathBuf::from(env!("CARGO_BIN_EXE_lineroute")), keep: None, seed: 1 };
+    let setup = Setup { program: PathBuf::from(env!("CARGO_BIN_EXE_lineroute")), keep: None, seed };
     run_alone(&scenario, &setup).expect("it is played").verdict
 }
