Notice hold-ups from 15 ms on, so that answers come before their deadline

Cause: a request that stood unread for up to 150 ms counted as having just come, since a hold-up was noticed by ticks of 100 ms that may be 50 ms late; the margin before the deadline is 25 ms. Shown by the program's times in 90 runs beside each other, 30 at a time: 14 failed, each read 34 to 135 ms behind the client's write with 399.5 ms of 400 promised, each answered within 2 ms of its due time. Change: a task of its own ticks every 10 ms, 5 ms late at most (both chosen: together less than the margin). Ruled out: waiting for the worker's take-back before the answer (answered within 2 ms of the due time in every run).

--- a/dispatcher/src/listeners/connection_slots.rs
+++ b/dispatcher/src/listeners/connection_slots.rs
@@ -2,7 +2,7 @@
 //! those that connect and send nothing, send slowly, or never leave: a request must be whole in time, and when all
 //! slots are taken, the least useful connection is closed for the new one.
 
-use crate::arrival::{ArrivalClock, TICK};
+use crate::arrival::ArrivalClock;
 use lineroute_permit::{CloseFacts, CloseReason, ConnectionState};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,7 +18,7 @@
 /// A usual client's first bytes come within this time: a silent connection older than that is closed first.
 const FIRST_BYTE_USUALLY_WITHIN: Duration = Duration::from_millis(500);
 /// Between two looks at who is late.
-const CHECK_EVERY: Duration = TICK;
+const CHECK_EVERY: Duration = Duration::from_millis(100);
 
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -292,7 +292,6 @@
         loop {
             tokio::time::sleep(CHECK_EVERY).await;
             let now = Instant::now();
-            self.arrivals.tick(now);
             for slot in self.taken.borrow().values() {
                 let within = match slot.stage.get() {
                     Stage::Silent => FIRST_BYTE_WITHIN,
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -237,6 +237,7 @@
     };
     // Before any socket is opened: what stands in one has come since.
     let arrivals = Rc::new(ArrivalClock::new(Instant::now()));
+    actix_rt::spawn(arrivals.clone().run());
     let monitor = Rc::new(ListMonitor::new(status, arrivals.clone()));
     let facade = Facade::new(site.settings, config.seed).map_err(|e| e.to_string())?;
     let flows = Flows::new(facade, bounds, monitor.clone());
--- a/dispatcher/tests/beanstalkd.rs
+++ b/dispatcher/tests/beanstalkd.rs
@@ -335,6 +335,10 @@
     assert_eq!(client.answer().status(), if again { 200 } else { 504 });
 }
 
+/// Failed once in CI, by an answer 15 ms behind the client's deadline. The program answers 25 ms before it, and reads the request
+/// late where the machine is busy: with 30 copies of this file at a time it was read 34 to 135 ms behind the client's write and
+/// counted as having just come, in each of the 14 of 90 runs that failed; each answer was given within 2 ms of its due time. A
+/// hold-up was noticed from 150 ms on, and is from 15 ms on now (`arrival.rs`).
 #[test]
 fn a_job_past_its_deadline_is_taken_back() {
     let (servers, rig) = queues(1, QUEUES);
