Date what is read behind a hold-up by what has been read, not by a span

What callers saw: on a busy machine, behind a process that stood still, workers were told up to 1.3 s more than clients had left. Cause: a hold-up counted as caught up with after 50 ms. On a busy machine the backlog takes longer, and a second hold-up in that time replaced the first one's start. Change: the clock holds until when all has been read: a moment before the event loop asked the kernel once more and ran whoever had something to read. Only that moves it on. Further: a connection's time in the queue is kept until its socket was looked at and found empty, not only until the event loop knows of nothing; a request behind another one is dated by the clock; the queue was empty when it was asked, not when the answer came. Why it holds: however long or often a process is held up between, what came meanwhile is dated from the last such moment. The lab says which rules a member broke by its own count.

--- a/dispatcher/src/listeners/connection_slots.rs
+++ b/dispatcher/src/listeners/connection_slots.rs
@@ -96,6 +96,16 @@
         self.unread_since.set(Some(since));
     }
 
+    /// There are bytes that are not read yet, as the event loop tells.
+    pub fn has_unread_now(&self) {
+        self.has_unread(self.arrivals.earliest(Instant::now()));
+    }
+
+    /// Whether there may be bytes that are not read yet.
+    pub fn may_have_unread(&self) -> bool {
+        self.unread_since.get().is_some()
+    }
+
     /// All that has come was read.
     pub fn has_read_all(&self) {
         self.unread_since.set(None);
--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -13,7 +13,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
@@ -75,6 +75,14 @@
         SockRef::from(self.stream()).peek(&mut [MaybeUninit::uninit()])
     }
 
+    /// The event loop knows of nothing to read. It may not have heard yet of what stood in the socket when it was accepted.
+    fn has_nothing_to_read(&self) {
+        let empty = || self.peek().is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        if self.slot.may_have_unread() && empty() {
+            self.slot.has_read_all();
+        }
+    }
+
     /// Whether the next thing to read is the end.
     fn has_ended(&self) -> bool {
         match self.peek() {
@@ -136,11 +144,11 @@
             let mut byte = [0];
             let mut byte = ReadBuf::new(&mut byte);
             match self.stream().poll_peek(cx, &mut byte) {
-                Poll::Pending => slot.has_read_all(),
+                Poll::Pending => self.has_nothing_to_read(),
                 Poll::Ready(Ok(0) | Err(_)) => slot.peer_closed(),
                 // The end behind these is `watch`'s to see.
                 Poll::Ready(Ok(_)) => {
-                    slot.has_unread(Instant::now());
+                    slot.has_unread_now();
                     slot.wait_until_answered(cx.waker());
                 }
             }
@@ -163,7 +171,7 @@
         let read = Pin::new(&mut *self.input.borrow_mut()).poll_read(cx, buf);
         if read.is_pending() {
             self.read_so_far.set(0);
-            slot.has_read_all();
+            self.has_nothing_to_read();
         }
         let read = ready!(read);
         let count = buf.filled().len() - before;
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -255,12 +255,13 @@
                 }
             }
             // One that need not be waited for stood in the queue.
+            let looked = Instant::now();
             let at_once = socket.accept().now_or_never();
             let queued = at_once.is_some();
             let accepted = match at_once {
                 Some(accepted) => accepted,
                 None => {
-                    arrivals.queue_is_empty(Instant::now());
+                    arrivals.queue_is_empty(looked);
                     // Both can be dropped here: a connection that is not accepted stands in the queue.
                     let accepted = tokio::select! {
                         accepted = socket.accept() => accepted,
--- a/lab/src/checker.rs
+++ b/lab/src/checker.rs
@@ -390,10 +390,10 @@
     for Event { at, what } in trace {
         match what {
             What::Permits { member, violations, sent_on_invalid_list, .. }
-                if violations + sent_on_invalid_list > 0 =>
+                if violations.values().sum::<u64>() + sent_on_invalid_list > 0 =>
             {
                 let words = format!(
-                    "member {member} counts {violations} violations and {sent_on_invalid_list} sends on an invalid list"
+                    "member {member} counts violations {violations:?} and {sent_on_invalid_list} sends on an invalid list"
                 );
                 add("own_violations", *at, words);
             }
--- a/lab/src/member.rs
+++ b/lab/src/member.rs
@@ -9,6 +9,7 @@
 use crate::trace::{Recorder, What};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -315,11 +316,14 @@
             let Some(admin) = self.admin(member) else { continue };
             let Ok(Some(flows)) = timeout(START, flows_of(admin)).await else { continue };
             let permits = &flows["permits"];
-            let sum = |of: &Value| of.as_object().into_iter().flatten().filter_map(|(_, n)| n.as_u64()).sum();
+            let counts = |of: &Value| -> BTreeMap<String, u64> {
+                let entries = of.as_object().into_iter().flatten();
+                entries.filter_map(|(name, count)| Some((name.clone(), count.as_u64()?))).collect()
+            };
             self.recorder.note(What::Permits {
                 member,
-                violations: sum(&permits["violations"]),
-                refused: sum(&permits["refused"]),
+                violations: counts(&permits["violations"]),
+                refused: counts(&permits["refused"]).values().sum(),
                 sent_on_invalid_list: permits["sent_on_invalid_list"].as_u64().unwrap_or(0),
             });
         }
--- a/lab/src/trace.rs
+++ b/lab/src/trace.rs
@@ -1,6 +1,7 @@
 //! What workers, clients, relays and the hand that breaks things saw, in the order of true time.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -200,7 +201,8 @@
     /// A member says that it broke a rule itself, or what it counts of its permits.
     Permits {
         member: usize,
-        violations: u64,
+        /// By the rule that it broke.
+        violations: BTreeMap<String, u64>,
         refused: u64,
         sent_on_invalid_list: u64,
     },
