Test: what stood in the queue keeps its time until it is read

The fault that mended beside the span: the event loop knows nothing of a connection that has just been accepted, so that the first poll finds nothing to read, and that cleared the time since when its bytes had stood in the queue. A poll that is pending proves nothing before the kernel was asked.

--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -218,3 +218,39 @@
         Poll::Ready(SockRef::from(self.stream()).shutdown(Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::connection_slots::ConnectionSlots;
+    use super::*;
+    use crate::arrival::ArrivalClock;
+    use std::io::Write;
+    use std::task::Waker;
+    use std::time::Instant;
+
+    /// Of a connection that has just been accepted the event loop knows nothing to read yet. That must not make what stood in
+    /// the queue with it come later.
+    #[test]
+    fn bytes_that_stood_in_the_queue_keep_their_time_until_they_are_read() {
+        actix_rt::System::new().block_on(async {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a socket");
+            let mut client = std::net::TcpStream::connect(listener.local_addr().expect("bound")).expect("up");
+            client.write_all(b"GET").expect("room");
+            let (accepted, _) = listener.accept().expect("a connection");
+            accepted.set_nonblocking(true).expect("a socket");
+
+            let slots = ConnectionSlots::new(1, Rc::new(ArrivalClock::new(Instant::now())));
+            let slot = slots.take().expect("a slot").slot.clone();
+            let queued_since = Instant::now() - Duration::from_secs(2);
+            slot.has_unread(queued_since);
+            let mut guarded =
+                Guarded::new(TcpStream::from_std(accepted.into()).expect("up"), slot.clone(), false);
+            let mut bytes = [0; 8];
+            let first = Pin::new(&mut guarded)
+                .poll_read(&mut Context::from_waker(Waker::noop()), &mut ReadBuf::new(&mut bytes));
+            assert!(first.is_pending(), "the event loop had no turn yet");
+            assert_eq!(guarded.read(&mut bytes).await.expect("bytes"), 3);
+            assert_eq!(slot.arrived(), queued_since);
+        });
+    }
+}
