--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -243,8 +243,7 @@
             let slot = slots.take().expect("a slot").slot.clone();
             let queued_since = Instant::now() - Duration::from_secs(2);
             slot.has_unread(queued_since);
-            let mut guarded =
-                Guarded::new(TcpStream::from_std(accepted.into()).expect("up"), slot.clone(), false);
+            let mut guarded = Guarded::new(TcpStream::from_std(accepted).expect("up"), slot.clone(), false);
             let mut bytes = [0; 8];
             let first = Pin::new(&mut guarded)
                 .poll_read(&mut Context::from_waker(Waker::noop()), &mut ReadBuf::new(&mut bytes));
