Review case 3: a process cannot be replaced in a tier that sends datagrams

Cause: the new process binds the old one's `peer_listen`, which fails and ends its start. The delayed job moves up to case 2.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""The process is replaced while jobs of clients that send no call id are out."""
+"""A job put with a delay, and a planned restart meanwhile."""
 
 import os
 import signal
@@ -8,70 +8,90 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import standins as s
 
-DEADLINE_MS = 15000
-# In seconds.
-RUN_TIME = 4.0
-YES_WITHIN = 6.0
-KILL_AFTER = 3.7
-JOBS = 6
+BUDGET_MS = 6000
+# In seconds: the delay of the delayed job, and how long after it was accepted SIGTERM comes.
+DELAY = 12
+TERM_AFTER = 1.0
+# SIGKILL may follow SIGTERM after the longest deadline (3 s where it is longer) and 0.7 s. More time is left here.
+EXIT_WITHIN = 30.0
 
 
 def body(run):
     record = run.record
-    socket = s.listen()
-    listen = socket.getsockname()[1]
-    consoles = [(s.HOST, s.free_port()), (s.HOST, s.free_port())]
+    listen, front = s.free_port(), s.free_port()
     discovery = s.Discovery()
-    workers = [s.HttpWorker(f"s-{i}", (s.HOST, listen), record, lambda job: (RUN_TIME, "done")) for i in range(2)]
+    workers = [s.HttpWorker(f"s-{i}", (s.HOST, listen), record, lambda job: (0.3, "done")) for i in range(3)]
     for worker in workers:
         discovery.put(worker.name, worker.server.text)
-    described = s.settings([("report", "repeatable", DEADLINE_MS, 9000)])
-    operator = run.write_json("operator.json", {"routes": [{"path": "/reports", "class": "report"}]})
-    path = run.write_json("config.json", s.config("n1", listen, discovery.server.text, described))
+    described = s.settings([("chart", "repeatable", 5000, 500), ("statement", "by_key", 15000, 800)])
+    operator = run.write_json("operator.json", {"beanstalkd": {
+        "listen": f"{s.HOST}:{front}",
+        "tubes": [{"tube": "statements", "class": "statement", "tenant": "acme", "budget_ms": BUDGET_MS, "answers": "done"}]}})
 
-    def start(label, at):
-        return run.start(label, path, operator, {"GW_ADMIN_ADDR": f"{at[0]}:{at[1]}"}, inherit=socket)
+    def start(label, seed):
+        path = run.write_json(f"{label}.json", s.config("n1", listen, discovery.server.text, described, seed=seed))
+        process = run.start(label, path, operator)
+        s.wait_until(lambda: s.is_up(listen), 20, f"{label} is ready")
+        return process
 
-    old = start("old", consoles[0])
-    s.wait_until(lambda: s.console(consoles[0], "health").startswith("OK"), 20, "the old process says yes")
-    answered = {}
+    first = start("first", "5f0c2a91d3e44b17")
+    client = s.Beanstalkd((s.HOST, front))
+    client.command("use statements")
 
-    def send(number):
-        text = f"report {number}"
-        record.line("client-sent", body=repr(text))
-        try:
-            status, _, got = s.http_call(
-                (s.HOST, listen), "POST", "/reports", (("X-Budget-Ms", str(DEADLINE_MS)),), text.encode(), DEADLINE_MS / 1000 + 2)
-        except (OSError, EOFError) as reason:
-            status, got = 0, str(reason).encode()
-        answered[number] = (status, got.decode("latin-1"))
-        record.line("client-answer", to=repr(text), status=status, body=repr(got.decode("latin-1").strip()))
+    def put(delay):
+        reply = client.command(f"put 0 {delay} 60 9", b"statement")
+        record.line("client-put", delay_s=delay, reply=reply)
+        if not reply.startswith("INSERTED "):
+            raise s.CannotRun(f"put was answered {reply}")
+        return int(reply.split(" ")[1])
 
-    threads = []
-    for number in range(JOBS):
-        threads.append(s.spawn(send, number))
-        time.sleep(0.05)
+    answers = {}
+
+    def fetch_until(until, wanted):
+        """Reserves from the answers tube until an answer to `wanted` came, as a client that waits there does."""
+        connection = None
+        while time.monotonic() < until and wanted not in answers:
+            try:
+                if connection is None:
+                    connection = s.Beanstalkd((s.HOST, front), timeout=3.0)
+                    connection.command("watch done")
+                got = connection.reserve(1)
+                if got is None:
+                    continue
+                number, text = got
+                head = text.split(b"\n")[0].decode()
+                record.line("client-answer", head=repr(head))
+                answers[int(head.split(" ")[0])] = head
+                connection.command(f"delete {number}")
+            except (OSError, EOFError):
+                connection = None
+                time.sleep(0.1)
+
+    # The front works: a job without a delay gets its answer.
+    plain = put(0)
+    fetch_until(time.monotonic() + 10, plain)
+    if plain not in answers:
+        raise s.CannotRun("a job without a delay got no answer")
+
+    delayed, accepted_at = put(DELAY), time.monotonic()
+    due = accepted_at + DELAY + BUDGET_MS / 1000.0 + 0.5
+    fetching = s.spawn(fetch_until, due, delayed)
     if s.TROUBLE:
-        new = start("new", consoles[1])
-        until = time.monotonic() + YES_WITHIN
-        while not s.console(consoles[1], "health").startswith("OK"):
-            if time.monotonic() > until:
-                raise s.CannotRun("the new process does not say yes")
+        time.sleep(TERM_AFTER)
+        run.signal(first, signal.SIGTERM)
+        until = time.monotonic() + EXIT_WITHIN
+        while first.poll() is None and time.monotonic() < until:
             time.sleep(0.02)
-        record.line("new-process-says-yes", pid=new.pid)
-        run.signal(old, signal.SIGTERM)
-        time.sleep(0.8)
-    for number in range(JOBS, 2 * JOBS):
-        threads.append(s.spawn(send, number))
-        time.sleep(0.05)
-    for thread in threads:
-        thread.join()
-    breaks = []
-    for number, (status, text) in sorted(answered.items()):
-        if status == 200 and text != f"result of report {number}":
-            breaks.append(f"the client that sent 'report {number}' was answered {text!r}")
-    print({n: a for n, a in sorted(answered.items())})
-    return breaks
+        record.line("first-ended", code=first.poll())
+        if first.poll() is None:
+            raise s.CannotRun("the process did not end after SIGTERM")
+        # The planned restart ends: the next process takes the name and the addresses.
+        start("second", "77aa01c4be20f9d3")
+    fetching.join()
+    record.line("delayed-job", id=delayed, answer=answers.get(delayed))
+    if delayed in answers:
+        return []
+    return [f"job {delayed} was accepted with INSERTED and got no final answer within its delay and budget"]
 
 
 s.run_case(__file__, body)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,97 +1,110 @@
-"""A job put with a delay, and a planned restart meanwhile."""
+"""The process of a dispatcher is replaced in a tier of twelve whose dispatchers send each other datagrams."""
 
 import os
 import signal
+import socket
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import standins as s
 
-BUDGET_MS = 6000
-# In seconds: the delay of the delayed job, and how long after it was accepted SIGTERM comes.
-DELAY = 12
-TERM_AFTER = 1.0
-# SIGKILL may follow SIGTERM after the longest deadline (3 s where it is longer) and 0.7 s. More time is left here.
-EXIT_WITHIN = 30.0
+DISPATCHERS = 12
+DEADLINE_MS = 5000
+# In seconds. The new process has to say yes within 6 s; SIGKILL follows SIGTERM after 3 s and 0.7 s.
+REPLACE_AT = 4.0
+LOAD_FOR = 16.0
+EVERY = 0.1
+YES_WITHIN = 6.0
+KILL_AFTER = 3.7
 
 
 def body(run):
     record = run.record
-    listen, front = s.free_port(), s.free_port()
+    clients = s.listen()
+    listen = clients.getsockname()[1]
+    consoles = [(s.HOST, s.free_port()), (s.HOST, s.free_port())]
     discovery = s.Discovery()
     workers = [s.HttpWorker(f"s-{i}", (s.HOST, listen), record, lambda job: (0.3, "done")) for i in range(3)]
     for worker in workers:
         discovery.put(worker.name, worker.server.text)
-    described = s.settings([("chart", "repeatable", 5000, 500), ("statement", "by_key", 15000, 800)])
-    operator = run.write_json("operator.json", {"beanstalkd": {
-        "listen": f"{s.HOST}:{front}",
-        "tubes": [{"tube": "statements", "class": "statement", "tenant": "acme", "budget_ms": BUDGET_MS, "answers": "done"}]}})
+    # The other eleven dispatchers of the tier: addresses that take datagrams and never answer.
+    others = []
+    for _ in range(DISPATCHERS - 1):
+        peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        peer.bind((s.HOST, 0))
+        others.append(peer)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((s.HOST, 0))
+        own = f"{s.HOST}:{sock.getsockname()[1]}"
+    described = s.settings([("quote", "repeatable", DEADLINE_MS, 500)], peers=True)
+    described.update(instances=DISPATCHERS, self_index=0, prices={"peer": 0.01})
+    peers = [own] + [f"{s.HOST}:{peer.getsockname()[1]}" for peer in others]
 
-    def start(label, seed):
-        path = run.write_json(f"{label}.json", s.config("n1", listen, discovery.server.text, described, seed=seed))
-        process = run.start(label, path, operator)
-        s.wait_until(lambda: s.is_up(listen), 20, f"{label} is ready")
-        return process
+    def start(label, at, seed):
+        # Each start has a seed and a second address of its own; all else is the same.
+        console = f"{at[0]}:{at[1]}"
+        path = run.write_json(f"{label}.json", s.config(
+            "n0", listen, discovery.server.text, described, seed=seed, admin_addr=console, peer_listen=own, peers=peers))
+        return run.start(label, path, None, {"GW_ADMIN_ADDR": console}, inherit=clients)
 
-    first = start("first", "5f0c2a91d3e44b17")
-    client = s.Beanstalkd((s.HOST, front))
-    client.command("use statements")
+    old = start("old", consoles[0], "5f0c2a91d3e44b17")
+    s.wait_until(lambda: s.console(consoles[0], "health").startswith("OK"), 20, "the old process says yes")
+    answered, breaks = {}, []
 
-    def put(delay):
-        reply = client.command(f"put 0 {delay} 60 9", b"statement")
-        record.line("client-put", delay_s=delay, reply=reply)
-        if not reply.startswith("INSERTED "):
-            raise s.CannotRun(f"put was answered {reply}")
-        return int(reply.split(" ")[1])
+    def send(number):
+        reference = f"c-{number}"
+        headers = (("X-Call-Id", reference), ("X-Call-Class", "quote"), ("X-Caller", "acme"), ("X-Budget-Ms", str(DEADLINE_MS)))
+        try:
+            status, _, text = s.http_call((s.HOST, listen), "POST", "/api", headers, f"quote {number}".encode(), 7.0)
+        except (OSError, EOFError) as reason:
+            status, text = 0, str(reason).encode()
+        answered[reference] = status
+        record.line("client-answer", id=reference, status=status, body=repr(text.decode("latin-1")))
 
-    answers = {}
+    def replace():
+        new = start("new", consoles[1], "77aa01c4be20f9d3")
+        until = time.monotonic() + YES_WITHIN
+        while True:
+            if new.poll() is not None:
+                last = run.log_text(new).strip().splitlines()[-1:]
+                record.line("new-process-ended", code=new.poll(), log=repr(last))
+                breaks.append(f"the new process ended by itself with code {new.poll()}, {last}")
+                return
+            said = s.console(consoles[1], "health")
+            if said.startswith("OK"):
+                break
+            if time.monotonic() > until:
+                record.line("new-process-says-no", answer=repr(said))
+                breaks.append(f"the new process did not say yes within {YES_WITHIN} s: {said}")
+                return
+            time.sleep(0.05)
+        record.line("new-process-says-yes", pid=new.pid)
+        run.signal(old, signal.SIGTERM)
+        try:
+            old.wait(KILL_AFTER)
+        except Exception:
+            run.signal(old, signal.SIGKILL)
+        record.line("old-ended", code=old.poll())
 
-    def fetch_until(until, wanted):
-        """Reserves from the answers tube until an answer to `wanted` came, as a client that waits there does."""
-        connection = None
-        while time.monotonic() < until and wanted not in answers:
-            try:
-                if connection is None:
-                    connection = s.Beanstalkd((s.HOST, front), timeout=3.0)
-                    connection.command("watch done")
-                got = connection.reserve(1)
-                if got is None:
-                    continue
-                number, text = got
-                head = text.split(b"\n")[0].decode()
-                record.line("client-answer", head=repr(head))
-                answers[int(head.split(" ")[0])] = head
-                connection.command(f"delete {number}")
-            except (OSError, EOFError):
-                connection = None
-                time.sleep(0.1)
-
-    # The front works: a job without a delay gets its answer.
-    plain = put(0)
-    fetch_until(time.monotonic() + 10, plain)
-    if plain not in answers:
-        raise s.CannotRun("a job without a delay got no answer")
-
-    delayed, accepted_at = put(DELAY), time.monotonic()
-    due = accepted_at + DELAY + BUDGET_MS / 1000.0 + 0.5
-    fetching = s.spawn(fetch_until, due, delayed)
-    if s.TROUBLE:
-        time.sleep(TERM_AFTER)
-        run.signal(first, signal.SIGTERM)
-        until = time.monotonic() + EXIT_WITHIN
-        while first.poll() is None and time.monotonic() < until:
-            time.sleep(0.02)
-        record.line("first-ended", code=first.poll())
-        if first.poll() is None:
-            raise s.CannotRun("the process did not end after SIGTERM")
-        # The planned restart ends: the next process takes the name and the addresses.
-        start("second", "77aa01c4be20f9d3")
-    fetching.join()
-    record.line("delayed-job", id=delayed, answer=answers.get(delayed))
-    if delayed in answers:
-        return []
-    return [f"job {delayed} was accepted with INSERTED and got no final answer within its delay and budget"]
+    threads, began, number, replaced = [], time.monotonic(), 0, None
+    while time.monotonic() < began + LOAD_FOR:
+        if s.TROUBLE and replaced is None and time.monotonic() >= began + REPLACE_AT:
+            replaced = s.spawn(replace)
+        threads.append(s.spawn(send, number))
+        number += 1
+        time.sleep(EVERY)
+    for thread in threads:
+        thread.join()
+    if replaced is not None:
+        replaced.join()
+    served = sum(1 for status in answered.values() if status == 200)
+    print(f"sent {number}, served {served}")
+    if served == 0:
+        raise s.CannotRun("no job was served")
+    if not s.TROUBLE and old.poll() is not None:
+        breaks.append("the dispatcher ended")
+    return breaks
 
 
 s.run_case(__file__, body)
