A delayed beanstalkd job is answered when the process stops before it begins

Cause: the job was owned by a sleeping task of the listener. The shutdown asks the core, which did not know it; a flow that was opened behind the last look was lost too. Change: the flow is opened in the step that decides INSERTED, with its delay as a state of the core. At SIGTERM a new permit (DelayedStartFacts) says which delayed jobs can still be finished; the others are refused at once. GET /flows counts them, and answers that nobody fetched are logged.

--- a/dispatcher/src/admin/api.rs
+++ b/dispatcher/src/admin/api.rs
@@ -158,6 +158,9 @@
     pub dispatcher: String,
     /// Flows that are not answered yet.
     pub open: usize,
+    /// Of these, flows that wait for the end of their delay.
+    #[serde(default)]
+    pub delayed: usize,
     /// Forwards that are not answered yet.
     pub forwards: usize,
     /// Bytes of buffered bodies.
--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -161,6 +161,7 @@
             cut_short: totals.cut_short,
             dispatcher: self.dispatcher.clone(),
             open: totals.open,
+            delayed: totals.delayed,
             forwards: totals.in_flight,
             bytes: totals.bytes,
             classes: self.classes.iter().cloned().zip(totals.classes).collect(),
--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -32,6 +32,31 @@
     pub body: Body,
 }
 
+/// When a flow begins, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowTiming {
+    /// Time from the opening of the flow until it may be forwarded.
+    pub delay: Duration,
+    /// Time from the end of the delay until the client stops waiting.
+    pub budget: Duration,
+}
+
+impl FlowTiming {
+    /// A flow that begins when it is opened.
+    pub fn immediate(budget: Duration) -> Self {
+        FlowTiming { delay: Duration::ZERO, budget }
+    }
+}
+
+/// The last moments of a process that has received SIGTERM.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownTimes {
+    /// Until when new requests are started.
+    pub accepts_until: Instant,
+    /// When everything that is still owed is answered.
+    pub answers_by: Instant,
+}
+
 /// An answer that is streamed as it arrives: its head, which a listener of the same protocol can interpret, and
 /// its body. Whoever reads the body to its end learns whether it was complete.
 pub struct StreamedAnswer {
@@ -156,8 +181,10 @@
 /// Totals over all flows, as reported to operators.
 #[derive(Clone, Debug, Default)]
 pub struct FlowTotals {
-    /// Flows without an answer yet; flows with a forward in flight; bytes of request bodies held.
+    /// Flows without an answer yet; of these, flows that wait for the end of their delay.
     pub open: usize,
+    pub delayed: usize,
+    /// Flows with a forward in flight; bytes of request bodies held.
     pub in_flight: usize,
     pub bytes: usize,
     /// Streamed answers that ended before they were complete, since the start.
--- a/dispatcher/src/flow/core.rs
+++ b/dispatcher/src/flow/core.rs
@@ -15,12 +15,17 @@
 use tokio::sync::Notify;
 use tracing::{debug, error, warn};
 
+/// `Retry-After` of a delayed flow that exceeds the bounds when its delay ends.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 pub(super) struct Flow {
     pub(super) job: Rc<Job>,
     pub(super) listener: Option<Box<dyn Listener>>,
     /// The request for a decision, until it has been made.
     pub(super) ask: Option<FlowRequest>,
     pub(super) deadline: Instant,
+    /// When the delay of the flow ends; `None` once it has ended. Until then the flow does not count against [`Bounds`].
+    pub(super) begins_at: Option<Instant>,
     pub(super) in_flight: Option<InFlight>,
     pub(super) start_by: Option<Instant>,
     /// Targets at which forwards of this flow have ended, and whether any of those forwards may have run.
@@ -67,6 +72,8 @@
     pub(super) flows: FxHashMap<FlowId, Flow>,
     pub(super) references: FxHashSet<String>,
     pub(super) deadlines: BTreeSet<(Instant, FlowId)>,
+    /// Flows that wait for the end of their delay.
+    pub(super) delayed: BTreeSet<(Instant, FlowId)>,
     pub(super) targets: FxHashMap<TargetId, KnownTarget>,
     /// The number of forwards in flight at each target, and the changes that the observer has not been notified
     /// of yet.
@@ -91,6 +98,31 @@
         in_flight.is_some_and(|o| o.forward.id == forward_id)
     }
 
+    /// Whether a flow with a body of `size` bytes may begin without exceeding the bounds.
+    pub(super) fn has_room(&self, size: usize) -> bool {
+        let begun = self.flows.len() - self.delayed.len();
+        begun < self.bounds.flows && self.body_bytes + size <= self.bounds.bytes
+    }
+
+    /// Begins the flows whose delay is over. Returns those that have to be dispatched, and the effects of refusing the others,
+    /// which exceed the bounds.
+    pub(super) fn begin_due(&mut self, now: Instant, watch: &Notify) -> (Vec<FlowId>, Vec<Effect>) {
+        let (mut begun, mut effects) = (Vec::new(), Vec::new());
+        while let Some(&(at, id)) = self.delayed.first().filter(|(at, _)| *at <= now) {
+            let size = self.flows.get(&id).map_or(0, |flow| flow.job.body.len());
+            if !self.has_room(size) {
+                effects.extend(self.abort_flow(id, FULL_RETRY_AFTER, watch));
+            }
+            self.delayed.remove(&(at, id));
+            if let Some(flow) = self.flows.get_mut(&id) {
+                flow.begins_at = None;
+                self.body_bytes += size;
+                begun.push(id);
+            }
+        }
+        (begun, effects)
+    }
+
     /// Converts decisions into effects and updates the table of flows accordingly.
     pub(super) fn effects(&mut self, decisions: Vec<Decision>, watch: &Notify) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -299,7 +331,10 @@
         let over = self.flows.get(&id).is_some_and(|f| f.listener.is_none() && f.in_flight.is_none());
         if let Some(flow) = over.then(|| self.flows.remove(&id)).flatten() {
             self.references.remove(&flow.job.reference);
-            self.body_bytes -= flow.job.body.len();
+            match flow.begins_at {
+                Some(at) => drop(self.delayed.remove(&(at, id))),
+                None => self.body_bytes -= flow.job.body.len(),
+            }
             self.deadlines.remove(&(flow.deadline, id));
             self.deadlines.remove(&(flow.deadline + DEADLINE_FALLBACK_DELAY, id));
             self.facade.forget(id);
--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -55,6 +55,7 @@
             flows: FxHashMap::default(),
             references: FxHashSet::default(),
             deadlines: BTreeSet::new(),
+            delayed: BTreeSet::new(),
             targets: FxHashMap::default(),
             in_flight_counts: FxHashMap::default(),
             in_flight_changes: Vec::new(),
@@ -101,27 +102,36 @@
     }
 
     /// Opens a flow for a job. From here on its listener gets exactly one answer, unless the client leaves
-    /// first.
+    /// first; this includes the time of its delay.
+    ///
+    /// # Errors
+    /// Why the flow was not opened. A flow with a delay counts against [`Bounds`] only when the delay ends, and is refused then
+    /// if one is reached; until then its listener limits how many it accepts.
     pub fn open(
         &self,
         job: Job,
-        budget: Duration,
+        timing: FlowTiming,
         _permit: StartPermit,
         listener: impl FnOnce(FlowId) -> Box<dyn Listener>,
     ) -> Result<FlowId, OpenError> {
-        let deadline = Instant::now() + budget.saturating_sub(ANSWER_MARGIN);
+        let now = Instant::now();
+        let begins_at = (!timing.delay.is_zero()).then(|| now + timing.delay);
+        let deadline = begins_at.unwrap_or(now) + timing.budget.saturating_sub(ANSWER_MARGIN);
         let id = {
             let core = &mut *self.core.borrow_mut();
             let size = job.body.len();
-            if core.flows.len() >= core.bounds.flows || core.body_bytes + size > core.bounds.bytes {
+            if begins_at.is_none() && !core.has_room(size) {
                 return Err(OpenError::Full);
             }
             if !core.references.insert(job.reference.clone()) {
                 return Err(OpenError::Duplicate);
             }
             core.last_flow_id += 1;
-            core.body_bytes += size;
             let id = FlowId(core.last_flow_id);
+            match begins_at {
+                Some(at) => drop(core.delayed.insert((at, id))),
+                None => core.body_bytes += size,
+            }
             let ask = FlowRequest {
                 class: job.class,
                 tenant: job.tenant,
@@ -140,6 +150,7 @@
                     listener,
                     ask,
                     deadline,
+                    begins_at,
                     in_flight: None,
                     start_by: None,
                     tried_targets: Vec::new(),
@@ -150,13 +161,20 @@
             );
             id
         };
+        if begins_at.is_none() {
+            self.begin(id);
+        }
+        // Until the flow is dispatched, only its delay and its deadline have to be observed.
+        self.timer_changed.notify_one();
+        Ok(id)
+    }
+
+    /// Dispatches a flow, at once or when peers have reported their load.
+    fn begin(&self, id: FlowId) {
         let observer = self.observer.borrow().clone();
         if !observer.is_some_and(|observer| observer.flow_opened(id)) {
             self.dispatch(id);
         }
-        // Until the flow is dispatched, only its deadline has to be observed.
-        self.timer_changed.notify_one();
-        Ok(id)
     }
 
     /// Lets the decision module choose a target, unless it already has or the client has left.
@@ -228,16 +246,29 @@
     /// Answers every unanswered flow because this process may exit at any moment from now on. Returns their
     /// number.
     pub fn answer_all_pending(&self, retry_after: Duration) -> usize {
-        let (count, effects) = {
-            let core = &mut *self.core.borrow_mut();
+        let unanswered = {
+            let core = self.core.borrow();
             let unanswered = core.flows.iter().filter(|(_, flow)| flow.listener.is_some());
-            let unanswered: Vec<FlowId> = unanswered.map(|(id, _)| *id).collect();
+            unanswered.map(|(id, _)| *id).collect::<Vec<FlowId>>()
+        };
+        self.abort(&unanswered, retry_after);
+        unanswered.len()
+    }
+
+    /// Refuses the flows whose delay ends too late for this process, which is stopping. Returns their number.
+    pub fn refuse_late_starts(&self, times: ShutdownTimes, retry_after: Duration) -> usize {
+        let late = self.core.borrow_mut().late_starts(times);
+        self.abort(&late, retry_after);
+        late.len()
+    }
+
+    fn abort(&self, flows: &[FlowId], retry_after: Duration) {
+        let effects: Vec<Effect> = {
+            let core = &mut *self.core.borrow_mut();
             let abort_flow = |id: &FlowId| core.abort_flow(*id, retry_after, &self.watch_requested);
-            let effects: Vec<Effect> = unanswered.iter().flat_map(abort_flow).collect();
-            (unanswered.len(), effects)
+            flows.iter().flat_map(abort_flow).collect()
         };
         self.apply_effects(effects);
-        count
     }
 
     fn report_forward_news(&self, forward_id: ForwardId, news: DispatchEvent) {
@@ -292,6 +323,7 @@
         };
         for flow in core.flows.values() {
             totals.open += usize::from(flow.listener.is_some());
+            totals.delayed += usize::from(flow.begins_at.is_some());
             totals.in_flight += usize::from(flow.in_flight.is_some());
             if let Some(count) = totals.classes.get_mut(flow.job.class) {
                 *count += usize::from(flow.listener.is_some());
@@ -325,13 +357,16 @@
         self.watch_requested.notified().await;
     }
 
-    /// Runs the timers of the decision module and the deadlines of flows. Never returns.
+    /// Runs the timers of the decision module, and the delays and deadlines of flows. Never returns.
     pub async fn run_timers(&self) {
         loop {
             let due = {
                 let core = self.core.borrow();
-                let deadline = core.deadlines.first().map(|d| d.0);
-                [core.facade.next_tick(), deadline].into_iter().flatten().min()
+                let (begin, deadline) = (core.delayed.first(), core.deadlines.first());
+                [core.facade.next_tick(), begin.map(|d| d.0), deadline.map(|d| d.0)]
+                    .into_iter()
+                    .flatten()
+                    .min()
             };
             let due = due.unwrap_or_else(|| Instant::now() + Duration::from_secs(60));
             tokio::select! {
@@ -343,7 +378,9 @@
 
     fn run_due(&self) {
         let now = Instant::now();
-        let mut effects = Vec::new();
+        let (begun, mut effects) = self.core.borrow_mut().begin_due(now, &self.watch_requested);
+        self.apply_effects(std::mem::take(&mut effects));
+        begun.into_iter().for_each(|id| self.begin(id));
         {
             let core = &mut *self.core.borrow_mut();
             let decisions = core.facade.tick();
--- a/dispatcher/src/flow/permits.rs
+++ b/dispatcher/src/flow/permits.rs
@@ -1,17 +1,18 @@
 //! Collects the facts for permits, and for the audit after each first byte. `lineroute_permit` alone decides
 //! what is permitted.
 
-use super::contract::{Forward, ForwardId};
+use super::contract::{Forward, ForwardId, ShutdownTimes};
 use super::core::Core;
 use super::permit_stats::PermitStatsReport;
 use super::Flows;
-use crate::facade::{DispatchEvent, Stage};
+use crate::facade::{DispatchEvent, FlowId, Stage};
 use crate::list::monitor::ListReport;
 use lineroute_control::list_status::ListState;
 use lineroute_permit::audit::SendAudit;
 use lineroute_permit::{
-    AttemptState, ClientState, CloseFacts, ClosePermit, ListValidity, OperatorState, SendFacts, SendPermit,
-    SendRefusal, StartFacts, StartPermit, StartRefusal, Violation, WorkerFacts, WorkerStage,
+    AttemptState, ClientState, CloseFacts, ClosePermit, DelayedStartFacts, ListValidity, OperatorState,
+    SendFacts, SendPermit, SendRefusal, StartFacts, StartPermit, StartRefusal, Violation, WorkerFacts,
+    WorkerStage,
 };
 use std::time::{Duration, Instant};
 use tracing::debug;
@@ -60,6 +61,20 @@
         }
     }
 
+    /// The flows whose delay ends too late for a process that stops at these times.
+    pub(super) fn late_starts(&mut self, times: ShutdownTimes) -> Vec<FlowId> {
+        let ShutdownTimes { accepts_until, answers_by } = times;
+        let mut late = Vec::new();
+        for &(begins_at, id) in &self.delayed {
+            let Some(flow) = self.flows.get(&id) else { continue };
+            let facts = DelayedStartFacts { begins_at, deadline: flow.deadline, accepts_until, answers_by };
+            if self.permit_stats.record_start(&flow.job.reference, facts.permit()).is_err() {
+                late.push(id);
+            }
+        }
+        late
+    }
+
     fn audit(&self, forward: &Forward, passed_on: Option<Duration>, now: Instant) -> SendAudit {
         let flow = self.flows.get(&forward.id.flow);
         let unready = self.targets.get(&forward.target).and_then(|known| known.unready_since);
--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -11,7 +11,7 @@
 use crate::body::Body;
 use crate::config::BeanstalkdListenerConfig;
 use crate::facade::FlowId;
-use crate::flow::{Answer, Flows, Job, Listener};
+use crate::flow::{Answer, FlowTiming, Flows, Job, Listener};
 use crate::listeners::connection_slots::{ConnectionSlot, ConnectionSlots, Stage};
 use bytes::Bytes;
 use command::Command;
@@ -163,37 +163,25 @@
             protocol_data: None,
             body: Body::Buffered(body),
         };
-        let (budget, answers) = (mapped.budget, mapped.answers.clone());
-        if delay.is_zero() {
-            return match self.start_flow(id, job, budget, answers) {
-                true => format!("INSERTED {id}"),
-                false => {
-                    self.tubes.borrow_mut().close(id);
-                    "OUT_OF_MEMORY".into()
-                }
-            };
+        let timing = FlowTiming { delay, budget: mapped.budget };
+        if self.open_flow(id, job, timing, mapped.answers.clone()) {
+            format!("INSERTED {id}")
+        } else {
+            self.tubes.borrow_mut().close(id);
+            "OUT_OF_MEMORY".into()
         }
-        let listener = self.clone();
-        actix_rt::spawn(async move {
-            tokio::time::sleep_until((now + delay).into()).await;
-            // The job may have been deleted during its delay.
-            if listener.tubes.borrow().is_open(id) && !listener.start_flow(id, job, budget, answers.clone()) {
-                listener.answer(id, &answers, &Answer::Refused(Duration::from_secs(1)));
-            }
-        });
-        format!("INSERTED {id}")
     }
 
-    fn start_flow(self: &Rc<Self>, id: u64, job: Job, budget: Duration, answers: String) -> bool {
+    /// Opens the flow of a job, which owes its client an answer from then on, also during the delay. Returns false if the flow
+    /// was not opened.
+    fn open_flow(self: &Rc<Self>, id: u64, job: Job, timing: FlowTiming, answers: String) -> bool {
         let put = |flow: FlowId| -> Box<dyn Listener> {
             self.tubes.borrow_mut().set_flow(id, flow);
             Box::new(AnswerReceiver { listener: self.clone(), id, answers })
         };
-        // A job that was replied to with `INSERTED` must get an answer, even if its delay ends after SIGTERM.
-        let process = if self.stopping.get() { ProcessState::Draining } else { ProcessState::Serving };
-        let facts = StartFacts { process, client_gone: false };
+        let facts = StartFacts { process: ProcessState::Serving, client_gone: false };
         let Ok(permit) = self.flows.start_permit(&job.reference, facts) else { return false };
-        self.flows.open(job, budget, permit, put).is_ok()
+        self.flows.open(job, timing, permit, put).is_ok()
     }
 
     fn answer(&self, id: u64, answers: &str, answer: &Answer) {
@@ -404,7 +392,8 @@
                 text(tubes.stats_tube(&tube, mapped, now))
             }
             Command::Stats => {
-                Reply::Text(tubes.stats(MAX_JOB_BYTES, listener.slots.count(), listener.stopping.get()))
+                let (connections, draining) = (listener.slots.count(), listener.stopping.get());
+                Reply::Text(tubes.stats(MAX_JOB_BYTES, connections, draining, now))
             }
             Command::ListTubes => {
                 let mapped = listener.settings.tubes.iter().flat_map(|t| [t.tube.as_str(), &t.answers]);
--- a/dispatcher/src/listeners/beanstalkd/tubes.rs
+++ b/dispatcher/src/listeners/beanstalkd/tubes.rs
@@ -21,7 +21,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
-    /// An open job, with its flow once that has begun.
+    /// An open job, with its flow once that has been opened. Its delay is the flow's.
     Open(Option<FlowId>),
     Ready,
     Delayed(Instant),
@@ -147,7 +147,7 @@
         }
     }
 
-    /// The flow of an open job, once it has begun; `None` if no such job is open.
+    /// The flow of an open job, once it has been opened; `None` if no such job is open.
     pub fn flow(&self, id: u64) -> Option<Option<FlowId>> {
         match self.jobs.get(&id)?.state {
             State::Open(flow) => Some(flow),
@@ -155,7 +155,7 @@
         }
     }
 
-    pub fn is_open(&self, id: u64) -> bool {
+    fn is_open(&self, id: u64) -> bool {
         self.flow(id).is_some()
     }
 
@@ -342,6 +342,7 @@
         let job = self.jobs.get(&id)?;
         let until = match job.state {
             State::Delayed(until) | State::Reserved(_, until) => until.saturating_duration_since(now),
+            State::Open(_) => (job.since + job.delay).saturating_duration_since(now),
             _ => Duration::ZERO,
         };
         let mut text = String::from("---\n");
@@ -350,7 +351,7 @@
             "id: {id}\ntube: \"{}\"\nstate: {}\npri: {}\nage: {}\ndelay: {}\nttr: {}\ntime-left: {}\nfile: 0\n\
              reserves: {}\ntimeouts: {}\nreleases: {}\nburies: {}\nkicks: {}\n",
             job.tube,
-            state_name(job),
+            state_name(job, now),
             job.pri,
             now.duration_since(job.since).as_secs(),
             job.delay.as_secs(),
@@ -367,8 +368,9 @@
 
     pub fn stats_tube(&self, tube: &str, mapped: bool, now: Instant) -> Option<String> {
         let watching = self.watching.values().filter(|w| w.iter().any(|t| t == tube)).count();
-        let count =
-            |state: &str| self.jobs.values().filter(|j| j.tube == tube && state_name(j) == state).count();
+        let count = |state: &str| {
+            self.jobs.values().filter(|j| j.tube == tube && state_name(j, now) == state).count()
+        };
         let total = self.jobs.values().filter(|j| j.tube == tube).count();
         if !mapped && watching == 0 && total == 0 && tube != "default" {
             return None;
@@ -385,8 +387,8 @@
         ))
     }
 
-    pub fn stats(&self, max_job: usize, connections: usize, draining: bool) -> String {
-        let count = |state: &str| self.jobs.values().filter(|j| state_name(j) == state).count();
+    pub fn stats(&self, max_job: usize, connections: usize, draining: bool, now: Instant) -> String {
+        let count = |state: &str| self.jobs.values().filter(|j| state_name(j, now) == state).count();
         format!(
             "---\ncurrent-jobs-ready: {}\ncurrent-jobs-reserved: {}\ncurrent-jobs-delayed: {}\n\
              current-jobs-buried: {}\nmax-job-size: {max_job}\ncurrent-connections: {connections}\n\
@@ -438,10 +440,10 @@
     }
 }
 
-/// A job's state in the protocol's terms: an open job is reserved, or delayed until its flow begins.
-fn state_name(job: &Entry) -> &'static str {
+/// A job's state in the protocol's terms: an open job is delayed until its flow begins, and reserved from then on.
+fn state_name(job: &Entry, now: Instant) -> &'static str {
     match job.state {
-        State::Open(None) if !job.delay.is_zero() => "delayed",
+        State::Open(_) if now < job.since + job.delay => "delayed",
         State::Open(_) | State::Reserved(..) => "reserved",
         State::Ready => "ready",
         State::Delayed(_) => "delayed",
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -8,7 +8,7 @@
 use crate::body::{Body, StreamBudget};
 use crate::config::Route;
 use crate::facade::FlowId;
-use crate::flow::{Answer, Flows, Job, Listener, OpenError};
+use crate::flow::{Answer, FlowTiming, Flows, Job, Listener, OpenError};
 use crate::list::monitor::ListMonitor;
 use crate::siblings::{Delivery, Siblings};
 use crate::stops;
@@ -499,7 +499,9 @@
         permit: StartPermit,
     ) -> Result<Option<Answer>, OpenError> {
         let (sender, answer) = oneshot::channel();
-        let id = self.flows.open(job, budget, permit, |_| Box::new(ResponseChannel(sender)))?;
+        let id = self
+            .flows
+            .open(job, FlowTiming::immediate(budget), permit, |_| Box::new(ResponseChannel(sender)))?;
         let mut guard = FlowGuard { flows: self.flows.clone(), id, answered: false };
         let answer = answer.await;
         guard.answered = answer.is_ok();
--- a/dispatcher/src/stop.rs
+++ b/dispatcher/src/stop.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown after SIGTERM: its stages, and what remains to be done in each.
 
 use crate::fleet;
-use crate::flow::Flows;
+use crate::flow::{Flows, ShutdownTimes};
 use crate::listeners::beanstalkd::BeanstalkdListener;
 use crate::listeners::connection_slots::ConnectionSlots;
 use crate::listeners::http::ListenerLifecycle;
@@ -81,7 +81,15 @@
             leaving_queue.map(|siblings| actix_rt::spawn(leave_queue(siblings, lifecycle.clone())));
         beanstalkd.iter().for_each(|f| f.stop());
         let answer_deadline = answer_deadline(longest_deadline);
-        tokio::time::sleep(ACCEPT_GRACE.min(answer_deadline)).await;
+        let times = ShutdownTimes {
+            accepts_until: started + ACCEPT_GRACE.min(answer_deadline),
+            answers_by: started + answer_deadline,
+        };
+        let late = flows.refuse_late_starts(times, RETRY_AFTER);
+        if late > 0 {
+            info!(late, "SIGTERM: jobs whose delay ends too late for this process are refused");
+        }
+        tokio::time::sleep_until(times.accepts_until.into()).await;
         lifecycle.start_stopping();
         info!(flows = flows.unanswered_flows(), "SIGTERM: new requests are refused from here on");
         let all_answered = async {
@@ -90,7 +98,7 @@
             }
         };
         // The future only waits, so that dropping it at the timeout loses nothing.
-        if tokio::time::timeout_at((started + answer_deadline).into(), all_answered).await.is_err() {
+        if tokio::time::timeout_at(times.answers_by.into(), all_answered).await.is_err() {
             let (attempts, owed) = (flows.forwards_in_flight(), flows.answer_all_pending(RETRY_AFTER));
             warn!(
                 owed,
@@ -99,8 +107,11 @@
             wait_while(CANCEL_TIMEOUT, || flows.forwards_in_flight() > 0).await;
         }
         info!("SIGTERM: every request has its answer");
-        wait_while(UNRESERVED_ANSWER_GRACE, || beanstalkd.as_ref().is_some_and(|f| f.unfinished_jobs() > 0))
-            .await;
+        let unfetched = || beanstalkd.as_ref().map_or(0, |listener| listener.unfinished_jobs());
+        wait_while(UNRESERVED_ANSWER_GRACE, || unfetched() > 0).await;
+        if unfetched() > 0 {
+            warn!(answers = unfetched(), "SIGTERM: answers that no client has fetched are lost");
+        }
         wait_while(STREAM_GRACE, || flows.streaming_answers() > 0).await;
         if flows.streaming_answers() > 0 {
             warn!(flows = flows.streaming_answers(), "SIGTERM: streamed answers truncated");
--- a/dispatcher/tests/beanstalkd.rs
+++ b/dispatcher/tests/beanstalkd.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant};
 
 const DONE: &str = r#","result":"a page""#;
+/// The platform may send SIGKILL this long after SIGTERM: the longest deadline, at most 3 s, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
 
 fn operator_config(more: &str) -> String {
     format!(
@@ -289,6 +291,46 @@
     assert!(rig.wait_for_exit().success());
 }
 
+/// Guards against losing an accepted job whose delay has not ended at SIGTERM (`review/2`): only a sleeping task knew of it, so
+/// the shutdown counted nothing that was owed, and the process exited. The client that put the job has disconnected.
+#[rstest]
+#[case::ends_before_the_process(3)]
+#[case::ends_after_the_process(12)]
+fn a_job_whose_delay_outlasts_acceptance_is_refused_before_the_earliest_kill(#[case] delay: u32) {
+    let mut rig = start(1);
+    let mut first = client(&rig);
+    let id = put(&mut first, "statements", delay);
+    let deleted = put(&mut first, "statements", delay);
+    assert_eq!(first.command(&format!("delete {deleted}")), "DELETED");
+    drop(first);
+    let terminated_at = Instant::now();
+    rig.terminate();
+    rig.wait_for_log("SIGTERM: stopping");
+    let mut second = client(&rig);
+    let answer = fetch(&mut second);
+    assert!(terminated_at.elapsed() < EARLIEST_KILL, "{:?}", terminated_at.elapsed());
+    assert!(answer.starts_with(&format!("{id} refused ")), "{answer}");
+    assert_eq!(second.command("reserve-with-timeout 0"), "TIMED_OUT", "there is one answer, to one job");
+    assert!(rig.wait_for_exit().success());
+    assert!(rig.workers[0].has_no_request());
+}
+
+/// The end of the delay and SIGTERM are both pending when the process resumes: the job is executed, in either order.
+#[test]
+fn a_job_whose_delay_ends_as_the_process_stops_is_served() {
+    let mut rig = start(1);
+    let mut client = client(&rig);
+    let id = put(&mut client, "statements", 1);
+    rig.pause();
+    std::thread::sleep(Duration::from_millis(1100));
+    rig.terminate();
+    rig.resume();
+    let reference = rig.workers[0].accept_job();
+    rig.send_job_update(0, &reference, "done", DONE);
+    assert_eq!(fetch(&mut client), format!("{id} served 0.000\na page"));
+    assert!(rig.wait_for_exit().success());
+}
+
 #[rstest]
 #[case(r#"{"beanstalkd": {"listen": "127.0.0.1:0", "tubes": []}}"#, "beanstalkd.tubes")]
 #[case(r#"{"beanstalkd": {"listen": "here", "tubes": []}}"#, "beanstalkd.listen")]
--- a/permit/src/lib.rs
+++ b/permit/src/lib.rs
@@ -8,6 +8,7 @@
 //! | further attempt of a request | [`RetryFacts`] | [`RetryPermit`] | [`RetryRefusal`] |
 //! | end of a client's connection | [`CloseFacts`] | [`ClosePermit`] | [`CloseRefusal`] |
 //! | start of a request | [`StartFacts`] | [`StartPermit`] | [`StartRefusal`] |
+//! | start of a delayed request in a process that stops | [`DelayedStartFacts`] | [`StartPermit`] | [`StartRefusal`] |
 //!
 //! A permit has no public constructor and is neither copied nor stored: the code that acts takes it by value.
 //! A send permit also expires ([`SendPermit::check_age`]).
@@ -32,4 +33,4 @@
     AttemptState, ClientState, ListValidity, OperatorState, SendFacts, SendPermit, SendRefusal, WorkerFacts,
     WorkerStage, STALL_ALLOWANCE,
 };
-pub use start::{ProcessState, StartFacts, StartPermit, StartRefusal};
+pub use start::{DelayedStartFacts, ProcessState, StartFacts, StartPermit, StartRefusal};
--- a/permit/src/start.rs
+++ b/permit/src/start.rs
@@ -1,6 +1,7 @@
 //! Starting of a request that has been read.
 
 use enum_map::Enum;
+use std::time::Instant;
 use thiserror::Error;
 
 /// State of the process.
@@ -39,6 +40,36 @@
 #[must_use = "a permit allows starting one request"]
 pub struct StartPermit(());
 
+/// Facts known about an accepted request that waits for the end of its delay, when the process begins to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct DelayedStartFacts {
+    /// When the delay of the request ends.
+    pub begins_at: Instant,
+    /// When the request is answered at the latest once it has started.
+    pub deadline: Instant,
+    /// Until when the process starts new requests.
+    pub accepts_until: Instant,
+    /// When the process answers everything that it still owes.
+    pub answers_by: Instant,
+}
+
+impl DelayedStartFacts {
+    /// Decides whether the request may still be started at the end of its delay. A request that starts with the last new ones
+    /// is treated as they are. A later one must be over before the process answers what it owes: cut short, it may have run,
+    /// while a request that never started can safely be sent to another process.
+    ///
+    /// # Errors
+    ///
+    /// [`StartRefusal::Stopping`] if it must not be started.
+    pub fn permit(&self) -> Result<StartPermit, StartRefusal> {
+        if self.begins_at <= self.accepts_until || self.deadline <= self.answers_by {
+            Ok(StartPermit(()))
+        } else {
+            Err(StartRefusal::Stopping)
+        }
+    }
+}
+
 impl StartFacts {
     /// Decides whether the request may be started.
     ///
--- a/permit/tests/permits.rs
+++ b/permit/tests/permits.rs
@@ -114,6 +114,18 @@
     assert_eq!([Serving, Stopping].map(|p| refused(p, true)), [Some(StartRefusal::ClientGone); 2]);
 }
 
+#[test]
+fn a_delayed_request_starts_in_a_stopping_process_only_if_it_is_over_in_time() {
+    let accepts_until = Instant::now();
+    let (second, answers_by) = (Duration::from_secs(1), accepts_until + Duration::from_secs(3));
+    let refused = |begins_at, deadline| {
+        DelayedStartFacts { begins_at, deadline, accepts_until, answers_by }.permit().err()
+    };
+    assert_eq!(refused(accepts_until, answers_by + second), None);
+    assert_eq!(refused(accepts_until + second, answers_by), None);
+    assert_eq!(refused(accepts_until + second, answers_by + second), Some(StartRefusal::Stopping));
+}
+
 #[test]
 fn the_audit_detects_each_violation() {
     let now = Instant::now() + SECOND;
