The beanstalkd listener serves only once the start cannot fail any more

What callers saw: INSERTED, and up to 5 s later the process ended with code 1 and the job was lost. Not seen in service; found by going through each way out of the process behind INSERTED. Cause: the listener was spawned when its socket was bound, before the admin console's socket, whose opening waits up to 5 s for a descriptor and then ends the start. Change: both listeners are spawned last. A fail point start.console for the test.

--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -290,13 +290,13 @@
     stops::at("start.listen");
     let socket = listeners::socket::open(origin).await?;
     let prefix = format!("{}-{:x}", config.name, config.seed);
-    let mut beanstalkd = None;
-    if let Some(settings) = config.beanstalkd {
-        let socket = bind_beanstalkd(settings.listen).await?;
-        let listener = BeanstalkdListener::new(flows.clone(), settings, prefix.clone(), arrivals);
-        actix_rt::spawn(listener.clone().serve(socket));
-        beanstalkd = Some(listener);
-    }
+    let beanstalkd = match config.beanstalkd {
+        Some(settings) => {
+            let socket = bind_beanstalkd(settings.listen).await?;
+            Some((socket, BeanstalkdListener::new(flows.clone(), settings, prefix.clone(), arrivals)))
+        }
+        None => None,
+    };
     let listen = socket.local_addr().map_err(|e| e.to_string())?;
     info!(addr = %listen, "listens");
     let timer_flows = flows.clone();
@@ -319,6 +319,7 @@
     // The admin console and the siblings come before clients are served, since an operator's command that concerns those clients
     // may reach a sibling.
     let siblings = calls.as_ref().and_then(|calls| calls.siblings.clone());
+    stops::at("start.console");
     let console = match config.admin_console {
         Some(at) => Some(admin::console::bind(at).await?),
         None => None,
@@ -338,7 +339,12 @@
         id_prefix: prefix,
         generated_ids: Cell::new(0),
     };
+    // Clients are served only once nothing can fail the start any more: it would lose what was accepted.
     let serving = actix_rt::spawn(Rc::new(listener).serve(socket));
+    let beanstalkd = beanstalkd.map(|(socket, listener)| {
+        actix_rt::spawn(listener.clone().serve(socket));
+        listener
+    });
     if let (Some(socket), Some(calls)) = (console, calls) {
         actix_rt::spawn(admin::console::serve(socket, calls));
     }
--- a/dispatcher/tests/system_calls.rs
+++ b/dispatcher/tests/system_calls.rs
@@ -9,6 +9,8 @@
 use common::{Rig, Setup, Worker, SETTINGS};
 use lineroute_fault_plan::Call;
 use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -154,6 +156,34 @@
     repair.join().expect("the faults have ended");
 }
 
+/// Sockets are exhausted before the last one is open, and the start fails. Guards against accepting jobs that are lost then: the
+/// beanstalkd listener used to serve while the start still waited for a socket.
+#[test]
+fn a_process_whose_start_fails_has_accepted_no_job() {
+    let mut faults = Faults::none();
+    let operator = r#"{"beanstalkd": {"listen": "127.0.0.1:0",
+        "tubes": [{"tube": "statements", "class": "statement", "answers": "done"}]}}"#;
+    let console = common::replacement::console_address();
+    let setup = Setup {
+        operator: Some(operator),
+        extra_config: format!(r#""admin_addr": "{console}","#),
+        stops: "start.console:1:stop",
+        environment: faults.environment(),
+        ..Setup::default()
+    };
+    let mut rig = Rig::set_up(vec![("w0".into(), ([127, 0, 0, 1], 9).into())], SETTINGS, setup);
+    rig.wait_until_paused();
+    faults.fail(Call::Socket, ALWAYS);
+    let mut client = TcpStream::connect(rig.beanstalkd_addr.expect("enabled")).expect("a connection");
+    client.write_all(b"use statements\r\nput 0 0 60 7\r\npayload\r\n").expect("written");
+    rig.resume();
+    assert!(!rig.wait_for_exit().success());
+    let mut replies = Vec::new();
+    // Ends with the connection, in an orderly way or by a reset.
+    let _ = client.read_to_end(&mut replies);
+    assert!(replies.is_empty(), "{:?}", String::from_utf8_lossy(&replies));
+}
+
 /// Partial reads and writes, and interrupted waits, lose no answer.
 #[test]
 fn short_reads_and_writes_and_interrupted_waits_lose_nothing() {
