Every worker protocol is sent the id and the idempotency key of the job

Cause: each worker protocol made its message by itself, and the one of plain HTTP workers left the key out for jobs of POST /api and of tubes, while the permit to repeat counts on it. On routes a client's Connection field could take the key away. Change: Forward::message makes the message from the job, both taken apart without '..', so a forgotten field does not compile. Id and key are set behind the removal of the hop's fields.

--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -116,6 +116,47 @@
     pub repeats_target: bool,
 }
 
+/// What an attempt has to tell its worker. Each worker protocol takes it apart without `..`, so that a new field does not
+/// compile until every protocol handles it.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptMessage<'a> {
+    /// The client's identifier of the job.
+    pub reference: &'a str,
+    /// By which the worker recognises a repeat; `None` if the job has no key.
+    pub idempotency_key: Option<&'a str>,
+    /// The request path, for protocols that have one.
+    pub path: &'a str,
+    /// Data of a listener of the same protocol.
+    pub protocol_data: Option<&'a Rc<dyn Any>>,
+    pub body: &'a Body,
+}
+
+impl Forward {
+    /// The message of this attempt. A new field of [`Job`] does not compile until it is decided here whether it is sent.
+    pub fn message(&self) -> AttemptMessage<'_> {
+        let Job {
+            reference,
+            idempotency_key,
+            path,
+            protocol_data,
+            body,
+            // Facts for the decision module only.
+            class: _,
+            tenant: _,
+            key: _,
+            slots: _,
+            expected_run_time: _,
+        } = &*self.job;
+        AttemptMessage {
+            reference,
+            idempotency_key: idempotency_key.as_deref(),
+            path,
+            protocol_data: protocol_data.as_ref(),
+            body,
+        }
+    }
+}
+
 /// The worker side: one implementation for each protocol that workers speak.
 pub trait Target {
     /// Starts a forward. `Flows::forward_ended` is called for it at least once. Its first byte needs a separate
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -9,7 +9,7 @@
 use crate::config::BeanstalkdWorkers;
 use crate::facade::{Outcome, TargetId};
 use crate::fleet::FencedOperation;
-use crate::flow::{Flows, Forward, ForwardId, Target};
+use crate::flow::{AttemptMessage, Flows, Forward, ForwardId, Target};
 use crate::local_faults::{is_local, LOCAL_FAULT_RETRY_DELAY};
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -252,7 +252,7 @@
 
     /// Puts the job of a forward. Returns true if the connection can no longer be used.
     async fn put(&self, server: &Rc<Server>, connection: &mut Option<Connection>, forward: &Forward) -> bool {
-        let (forward_id, job) = (forward.id, &forward.job);
+        let forward_id = forward.id;
         let open = match self.ensure_connected(server, connection).await {
             Ok(open) => open,
             Err(e) if is_local(&e) => {
@@ -272,13 +272,11 @@
             self.flows.forward_ended(forward_id, Outcome::Moot, None);
             return false;
         }
-        let head = format!(
-            "{} {} {}\n",
-            self.answers_tube,
-            job.reference,
-            job.idempotency_key.as_deref().unwrap_or("-")
-        );
-        let body = job.body.whole();
+        // A job in a tube has no path.
+        let AttemptMessage { reference, idempotency_key, body, path: _, protocol_data: _ } =
+            forward.message();
+        let head = format!("{} {reference} {}\n", self.answers_tube, idempotency_key.unwrap_or("-"));
+        let body = body.whole();
         let size = head.len() + body.len();
         let ttr = (left + TTR_MARGIN).as_secs();
         let mut request = format!("put 1024 0 {ttr} {size}\r\n{head}").into_bytes();
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -7,7 +7,7 @@
 use super::load;
 use crate::facade::{Load, Outcome, TargetId};
 use crate::fleet::FencedOperation;
-use crate::flow::{Flows, Forward, ForwardId, Target};
+use crate::flow::{AttemptMessage, Flows, Forward, ForwardId, Target};
 use crate::local_faults::LOCAL_FAULT_RETRY_DELAY;
 use crate::siblings::Delivery;
 use awc::http::{header, Method};
@@ -309,27 +309,25 @@
     }
 
     async fn post(&self, forward: &Forward, gate: &Rc<Gate>) {
-        let job = &forward.job;
+        let AttemptMessage { reference, idempotency_key, path, body, protocol_data: _ } = forward.message();
         if self.flows.send_permit(forward, None).is_err() {
             // For example, the worker has begun to drain since the decision; no connection is opened for it.
-            return self.end_forward(&job.reference, forward.id, Outcome::Moot, None, None);
+            return self.end_forward(reference, forward.id, Outcome::Moot, None, None);
         }
         let left = forward.deadline.saturating_duration_since(Instant::now());
         let budget = self.worker_budget(left);
         gate.set_budget_sent(budget);
         let budget = budget.as_millis().to_string();
         let mut headers = vec![
-            ("X-Call-Id", job.reference.as_str()),
+            ("X-Call-Id", reference),
             ("X-Budget-Ms", &budget),
             (header::CONTENT_TYPE.as_str(), "application/octet-stream"),
         ];
-        if let Some(key) = &job.idempotency_key {
-            headers.push(("Idempotency-Key", key));
-        }
-        let (addr, body, time_limit) = (forward.addr, job.body.whole(), (ACCEPT_TIMEOUT, left));
+        headers.extend(idempotency_key.map(|key| ("Idempotency-Key", key)));
+        let (addr, body, time_limit) = (forward.addr, body.whole(), (ACCEPT_TIMEOUT, left));
         let answer = self
             .client
-            .call_gated(gate, Method::POST, addr, &job.path, &headers, body, time_limit, MAX_ANSWER_BYTES)
+            .call_gated(gate, Method::POST, addr, path, &headers, body, time_limit, MAX_ANSWER_BYTES)
             .await;
         let load = answer.as_ref().ok().and_then(|answer| answer.load);
         let outcome = match answer {
@@ -356,7 +354,7 @@
                 return self.cancel_and_end(forward, Some(Instant::now()), Outcome::Cut).await;
             }
         };
-        self.end_forward(&job.reference, forward.id, outcome, None, load);
+        self.end_forward(reference, forward.id, outcome, None, load);
     }
 }
 
--- a/dispatcher/src/targets/upstream.rs
+++ b/dispatcher/src/targets/upstream.rs
@@ -6,7 +6,7 @@
 use crate::config::HttpWorkers;
 use crate::facade::{Outcome, TargetId};
 use crate::fleet::FencedOperation;
-use crate::flow::{Flows, Forward, ForwardId, Job, StreamedAnswer, Target};
+use crate::flow::{AttemptMessage, Flows, Forward, ForwardId, StreamedAnswer, Target};
 use crate::local_faults::{is_local, LOCAL_FAULT_RETRY_DELAY};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method};
@@ -199,8 +199,8 @@
         if permit.and_then(|permit| permit.check_age(Instant::now())).is_err() {
             return ForwardEnd { external_cause: true, ..never_ran() };
         }
-        let context = forward.job.protocol_data.as_ref().and_then(|d| d.downcast_ref::<RequestContext>());
-        let (head, framing, body) = match self.request(forward, context) {
+        let context = forward.message().protocol_data.and_then(|data| data.downcast_ref::<RequestContext>());
+        let (head, framing, body) = match self.request(forward.message(), forward.addr, context) {
             Some(request) => request,
             None => return ForwardEnd { external_cause: true, ..never_ran() },
         };
@@ -263,27 +263,30 @@
         end
     }
 
-    /// Builds the request: the original request of an HTTP listener, or a `POST` of the body for other
-    /// listeners.
+    /// Builds the request: the original request of a proxying route, or a `POST` of the body for other listeners. Either
+    /// carries the id and the key of the job. `None` if the body can no longer be sent.
     fn request(
         &self,
-        forward: &Forward,
+        message: AttemptMessage,
+        addr: SocketAddr,
         context: Option<&RequestContext>,
     ) -> Option<(RequestHead, Framing, BodySource)> {
-        let job: &Job = &forward.job;
+        // The original request of a route is in `context`.
+        let AttemptMessage { reference, idempotency_key, path, body, protocol_data: _ } = message;
         let mut head = match context {
             Some(context) => context.head.clone(),
-            None => {
-                let mut headers = HeaderMap::new();
-                headers.insert("x-call-id", HeaderValue::from_str(&job.reference).ok()?);
-                RequestHead { method: Method::POST, target: job.path.clone(), headers }
-            }
+            None => RequestHead { method: Method::POST, target: path.to_owned(), headers: HeaderMap::new() },
         };
         let client = context.and_then(|context| context.client);
-        forward_headers(&mut head.headers, &self.0.forwarding, client, &forward.addr.to_string());
+        forward_headers(&mut head.headers, &self.0.forwarding, client, &addr.to_string());
         // The listener has already answered it.
         head.headers.remove("expect");
-        let (framing, source) = match &job.body {
+        // Set last, since a client's `Connection` may name these fields, which the dispatcher relies on, and have them removed.
+        head.headers.insert("x-call-id", HeaderValue::from_str(reference).ok()?);
+        if let Some(key) = idempotency_key {
+            head.headers.insert("idempotency-key", HeaderValue::from_str(key).ok()?);
+        }
+        let (framing, source) = match body {
             Body::Buffered(bytes) if bytes.is_empty() => (Framing::None, BodySource::Whole(None)),
             Body::Buffered(bytes) => {
                 (Framing::Length(bytes.len() as u64), BodySource::Whole(Some(bytes.clone())))
--- /dev/null
+++ b/dispatcher/tests/attempt_messages.rs
@@ -0,0 +1,191 @@
+//! What an attempt tells its worker, for each worker protocol, listener and class effect. Workers recognise a repeat by its
+//! idempotency key, so every attempt has to carry it.
+
+mod common;
+
+use common::beanstalkd::Server;
+use common::{Client, Rig, Setup, Worker, SETTINGS};
+use rstest::rstest;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+/// The worker's side of one protocol.
+enum Peer {
+    Platform(Worker),
+    Plain(Worker),
+    Beanstalkd(Server),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Protocol {
+    Platform,
+    Plain,
+    Beanstalkd,
+}
+
+/// How a job reaches the dispatcher.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    /// `POST /api`.
+    Api,
+    /// A route of the operator's file, which proxies if the workers are plain HTTP servers.
+    Route,
+    /// `put` into a tube.
+    Tube,
+}
+
+/// What one attempt told the worker.
+#[derive(Debug, PartialEq)]
+struct Told {
+    reference: String,
+    key: Option<String>,
+    budget_ms: Option<u64>,
+}
+
+impl Told {
+    fn from_headers(headers: &HashMap<String, String>) -> Told {
+        Told {
+            reference: headers["x-call-id"].clone(),
+            key: headers.get("idempotency-key").cloned(),
+            budget_ms: headers.get("x-budget-ms").map(|ms| ms.parse().expect("a number")),
+        }
+    }
+}
+
+impl Peer {
+    fn start(protocol: Protocol) -> Peer {
+        match protocol {
+            Protocol::Platform => Peer::Platform(Worker::start("w0")),
+            Protocol::Plain => Peer::Plain(Worker::start("w0")),
+            Protocol::Beanstalkd => Peer::Beanstalkd(Server::start()),
+        }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        match self {
+            Peer::Platform(worker) | Peer::Plain(worker) => worker.addr,
+            Peer::Beanstalkd(server) => server.addr,
+        }
+    }
+
+    /// Receives an attempt that may have run, and ends it `after` some time: with a result, or by breaking its connection.
+    fn attempt(&self, rig: &Rig, serves: bool, after: Duration) -> Told {
+        match self {
+            Peer::Platform(worker) | Peer::Plain(worker) => {
+                let request = next_post(worker);
+                let told = Told::from_headers(&request.message.headers);
+                thread::sleep(after);
+                match (serves, self) {
+                    (false, _) => drop(request),
+                    (true, Peer::Plain(_)) => request.respond("200 OK"),
+                    (true, _) => {
+                        request.respond("202 Accepted");
+                        rig.send_job_update_from("w0", &told.reference, "done", r#","result":"x""#);
+                    }
+                }
+                told
+            }
+            Peer::Beanstalkd(server) => {
+                let job = server.reserve_job();
+                thread::sleep(after);
+                server.report(&job, if serves { "served" } else { "failed" }, "");
+                let key = Some(job.key).filter(|key| key != "-");
+                Told { reference: job.reference, key, budget_ms: None }
+            }
+        }
+    }
+}
+
+/// Waits for the next attempt, confirming cancellations.
+fn next_post(worker: &Worker) -> common::WorkerRequest {
+    loop {
+        let request = worker.next();
+        if request.message.start_line.starts_with("POST ") {
+            return request;
+        }
+        request.respond("200 OK");
+    }
+}
+
+fn start(protocol: Protocol) -> (Peer, Rig) {
+    let workers = match protocol {
+        Protocol::Platform => "",
+        Protocol::Plain => r#"{"kind": "m", "protocol": "http"}"#,
+        Protocol::Beanstalkd => r#"{"kind": "m"}"#,
+    };
+    let each = |text: &dyn Fn(&str) -> String| ["quote", "statement", "order"].map(text).join(", ");
+    let classes = each(&|class| {
+        let (effect, more) = match class {
+            "quote" => ("repeatable", ""),
+            "statement" => ("by_key", r#", "group": "all", "key_ttl_ms": 9000"#),
+            _ => ("once", ""),
+        };
+        format!(
+            r#"{{"name": "routed-{class}", "kind": "m", "aim_ms": 500, "deadline_ms": 8000, "effect": "{effect}"{more}, "late_share": 0.5}}"#
+        )
+    });
+    let routes = each(&|class| format!(r#"{{"path": "/{class}", "class": "routed-{class}"}}"#));
+    let tubes = each(&|class| format!(r#"{{"tube": "{class}", "class": "{class}", "answers": "done"}}"#));
+    let operator = format!(
+        r#"{{"workers": [{workers}], "classes": [{classes}], "routes": [{routes}],
+            "beanstalkd": {{"listen": "127.0.0.1:0", "tubes": [{tubes}]}}}}"#
+    );
+    let peer = Peer::start(protocol);
+    let setup = Setup { operator: Some(&operator), ..Setup::default() };
+    let rig = Rig::set_up(vec![("w0".into(), peer.addr())], SETTINGS, setup);
+    (peer, rig)
+}
+
+/// Submits a job and returns the client, which waits for the answer.
+fn submit(rig: &Rig, way: Way, class: &str, headers: &str) -> Client {
+    match way {
+        Way::Api => rig.post("c1", class, headers),
+        Way::Route => {
+            let mut client = rig.connect();
+            let headers = format!("X-Call-Id: c1\r\n{headers}");
+            client.send(&format!("POST /{class}"), &headers, "payload");
+            client
+        }
+        Way::Tube => {
+            let mut client = Client::new(rig.beanstalkd_addr.expect("the listener is enabled"));
+            assert_eq!(client.command(&format!("use {class}")), format!("USING {class}"));
+            assert!(client.command("put 0 0 60 7\r\npayload").starts_with("INSERTED"));
+            client.command("watch done");
+            client
+        }
+    }
+}
+
+/// Reads the final answer; whether it is a result.
+fn is_served(client: &mut Client, way: Way) -> bool {
+    match way {
+        Way::Api | Way::Route => client.read_response().status() == 200,
+        Way::Tube => client.reserve().1.contains(" served "),
+    }
+}
+
+/// Guards against repeating a keyed job without its key (`review/1`): plain HTTP workers were sent no key with jobs from `/api` and
+/// from tubes, so a worker could not recognise the repeat and executed the job twice.
+#[rstest]
+fn every_attempt_carries_the_id_and_the_key_of_its_job(
+    #[values(Protocol::Platform, Protocol::Plain, Protocol::Beanstalkd)] protocol: Protocol,
+    #[values(Way::Api, Way::Route, Way::Tube)] way: Way,
+    #[values("quote", "statement", "order")] class: &str,
+) {
+    let (peer, rig) = start(protocol);
+    // A client that names the key as a field of the hop must not make it disappear.
+    let mut client = submit(&rig, way, class, "Idempotency-Key: k1\r\nConnection: idempotency-key\r\n");
+    let first = peer.attempt(&rig, false, Duration::ZERO);
+    if way == Way::Tube {
+        assert!(first.key.is_some() && first.reference.ends_with("-1"), "{first:?}");
+    } else {
+        assert_eq!((&*first.reference, first.key.as_deref()), ("c1", Some("k1")));
+    }
+    if class != "order" {
+        let second = peer.attempt(&rig, true, Duration::ZERO);
+        assert_eq!((&second.reference, &second.key), (&first.reference, &first.key));
+    }
+    assert_eq!(is_served(&mut client, way), class != "order");
+}
