A key is one word in a worker's tube, whatever its characters

What callers saw: a keyed job whose Idempotency-Key holds a space, or is '-', could be done twice by workers with a beanstalkd server. Cause: the first line of a job in a tube is three words. A space made a fourth, and '-' stands for no key. Change: the key is percent-encoded there: what is no printable ASCII, '%', and the key '-'. Other keys are written as before, other protocols are not touched.

--- a/dispatcher/src/beanstalkd.rs
+++ b/dispatcher/src/beanstalkd.rs
@@ -3,6 +3,7 @@
 
 use crate::flow::Answer;
 use bytes::Bytes;
+use std::fmt::Write;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
@@ -12,6 +13,8 @@
 /// Maximum length of a job body, beanstalkd's default.
 pub const MAX_JOB_BYTES: usize = 65_535;
 const MAX_NAME_BYTES: usize = 200;
+/// The word for a value that is absent.
+pub const ABSENT: &str = "-";
 
 /// The result of reading a line.
 #[derive(Debug, PartialEq)]
@@ -81,6 +84,20 @@
     !name.is_empty() && name.len() <= MAX_NAME_BYTES && !name.starts_with('-') && name.bytes().all(plain)
 }
 
+/// Encodes text as one word of a line: percent-encodes everything but printable ASCII characters, the percent sign, and the word
+/// `-`, which stands for an absent value. Different texts have different encodings.
+pub fn encode_word(text: &str) -> String {
+    let mut word = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_graphic() && byte != b'%' && text != ABSENT {
+            word.push(char::from(byte));
+        } else {
+            let _ = write!(word, "%{byte:02X}");
+        }
+    }
+    word
+}
+
 /// Encodes an answer as a job: the first line holds the job's id, its outcome and the number of seconds after
 /// which a retry makes sense; the result follows.
 pub fn encode_answer(id: u64, answer: &Answer) -> Bytes {
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -1,11 +1,11 @@
 //! Workers that take their jobs from their own beanstalkd server. A forward is a job in the server's work tube;
 //! its result comes back through an answers tube that belongs to this dispatcher alone.
 //!
-//! The first line of a job names the answers tube, the client's reference and the idempotency key (`-`: none);
-//! the body follows. The first line of an answer names the job's id and its status: `started`, `served`,
+//! The first line of a job names the answers tube, the client's reference and the percent-encoded idempotency key
+//! (`-`: none); the body follows. The first line of an answer names the job's id and its status: `started`, `served`,
 //! `failed`, or `refused` if the job was handed back without being started; the result follows.
 
-use crate::beanstalkd::{decode_answer, read_body, read_line, Line, MAX_JOB_BYTES};
+use crate::beanstalkd::{decode_answer, encode_word, read_body, read_line, Line, ABSENT, MAX_JOB_BYTES};
 use crate::config::BeanstalkdWorkers;
 use crate::facade::{Outcome, TargetId};
 use crate::fleet::FencedOperation;
@@ -275,7 +275,8 @@
         // A job in a tube has no path.
         let AttemptMessage { reference, idempotency_key, body, path: _, protocol_data: _ } =
             forward.message();
-        let head = format!("{} {reference} {}\n", self.answers_tube, idempotency_key.unwrap_or("-"));
+        let key = idempotency_key.map_or_else(|| ABSENT.to_owned(), encode_word);
+        let head = format!("{} {reference} {key}\n", self.answers_tube);
         let body = body.whole();
         let size = head.len() + body.len();
         let ttr = (left + TTR_MARGIN).as_secs();
--- a/dispatcher/tests/attempt_messages.rs
+++ b/dispatcher/tests/attempt_messages.rs
@@ -189,3 +189,16 @@
     }
     assert_eq!(is_served(&mut client, way), class != "order");
 }
+
+/// Guards against a key that splits the first line of a job in a tube, or that reads there as the word for no key: the worker
+/// could not recognise a repeat. Different keys stay different.
+#[rstest]
+#[case::with_a_space("k 1", "k%201")]
+#[case::like_an_encoded_one("k%201", "k%25201")]
+#[case::the_word_for_no_key("-", "%2D")]
+fn a_key_is_one_word_in_a_tube_whatever_its_characters(#[case] key: &str, #[case] word: &str) {
+    let (peer, rig) = start(Protocol::Beanstalkd);
+    let mut client = submit(&rig, Way::Api, "statement", &format!("Idempotency-Key: {key}\r\n"));
+    assert_eq!(peer.attempt(&rig, true, Duration::ZERO).key.as_deref(), Some(word));
+    assert!(is_served(&mut client, Way::Api));
+}
