A keyed job that comes without a key is repeated with one of its own

What callers saw: a job of a by_key class whose client sent no Idempotency-Key was repeated without one behind a reset or a failure, so that workers could do it twice. Cause: the permit to repeat goes by the class, and counts on a key that nobody had. Classes of other effects get none, and an empty key counts as none.

--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -20,7 +20,7 @@
 use crate::fleet::prober::ProbeCoordinator;
 use crate::list::monitor::ListMonitor;
 use bytes::Bytes;
-use lineroute_permit::StartPermit;
+use lineroute_permit::{RepeatSafety, StartPermit};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -312,6 +312,11 @@
         self.apply_effects(effects);
     }
 
+    /// Whether flows of this class can safely run twice.
+    pub fn repeat_safety(&self, class: usize) -> RepeatSafety {
+        self.core.borrow().facade.repeat_safety(class)
+    }
+
     /// Totals over the open flows. `classes` is the number of classes.
     pub fn flow_totals(&self, classes: usize) -> FlowTotals {
         let core = self.core.borrow();
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -21,7 +21,7 @@
 use actix_service::{IntoServiceFactory, Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, StreamExt};
-use lineroute_permit::{CloseReason, ProcessState, StartFacts, StartPermit, StartRefusal};
+use lineroute_permit::{CloseReason, ProcessState, RepeatSafety, StartFacts, StartPermit, StartRefusal};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -197,7 +197,7 @@
     pub budgets: StreamBudget,
     /// The other processes of this dispatcher; `None` if there can't be any.
     pub siblings: Option<Rc<Siblings>>,
-    /// Prefix of the ids generated for jobs that came without one, and how many were generated.
+    /// Prefix of the ids and keys generated for jobs that came without one, and how many were generated.
     pub id_prefix: String,
     pub generated_ids: Cell<u64>,
 }
@@ -508,6 +508,12 @@
         Ok(answer.ok())
     }
 
+    /// An id that no other job or key of this dispatcher has.
+    fn generate_id(&self) -> String {
+        self.generated_ids.set(self.generated_ids.get() + 1);
+        format!("{}-h{}", self.id_prefix, self.generated_ids.get())
+    }
+
     pub(super) fn read_head(
         &self,
         request: &Request,
@@ -517,10 +523,7 @@
         let id = match header_text(headers, "x-call-id")? {
             Some(id) => id.to_owned(),
             // Routes with a class set by the operator also serve clients that don't send the platform's headers.
-            None if route.class.is_some() => {
-                self.generated_ids.set(self.generated_ids.get() + 1);
-                format!("{}-h{}", self.id_prefix, self.generated_ids.get())
-            }
+            None if route.class.is_some() => self.generate_id(),
             None => return Err("X-Call-Id is missing\n"),
         };
         let plain_id = id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:~".contains(&b));
@@ -549,12 +552,16 @@
         let work = header_text(headers, "x-call-cost")?.and_then(|us| us.trim().parse::<f64>().ok());
         let work = work.filter(|us| us.is_finite() && *us >= 1.0).map(|us| us.min(MAX_WORK_US));
         let owned = |name| Ok::<_, &'static str>(header_text(headers, name)?.map(str::to_owned));
+        let key = owned("idempotency-key")?.filter(|key| !key.is_empty());
+        // Without a key, workers could not recognise the repeats that the class permits.
+        let needs_key = self.flows.repeat_safety(class) == RepeatSafety::IdempotentByKey;
+        let key = key.or_else(|| needs_key.then(|| self.generate_id()));
         let job = Job {
             reference: id,
             class,
             tenant,
             key: owned("x-route-hash")?,
-            idempotency_key: owned("idempotency-key")?,
+            idempotency_key: key,
             slots,
             expected_run_time: work.map(|us| Duration::from_micros(us as u64)),
             path: request.uri().path_and_query().map_or("/".into(), |p| p.as_str().to_owned()),
--- a/dispatcher/tests/attempt_messages.rs
+++ b/dispatcher/tests/attempt_messages.rs
@@ -202,3 +202,18 @@
     assert_eq!(peer.attempt(&rig, true, Duration::ZERO).key.as_deref(), Some(word));
     assert!(is_served(&mut client, Way::Api));
 }
+
+/// Guards against repeating a job of a `by_key` class whose client sent no key, which executes it twice.
+#[rstest]
+fn a_keyed_job_that_comes_without_a_key_is_repeated_with_one(
+    #[values(Protocol::Platform, Protocol::Plain, Protocol::Beanstalkd)] protocol: Protocol,
+    #[values(Way::Api, Way::Route)] way: Way,
+    #[values(("statement", true), ("quote", false))] (class, is_keyed): (&str, bool),
+) {
+    let (peer, rig) = start(protocol);
+    let mut client = submit(&rig, way, class, "");
+    let first = peer.attempt(&rig, false, Duration::ZERO);
+    assert_eq!(first.key.is_some(), is_keyed, "{first:?}");
+    assert_eq!(peer.attempt(&rig, true, Duration::ZERO).key, first.key);
+    assert!(is_served(&mut client, way));
+}
