Plain HTTP workers are told the time that is left, in repeats too

What callers saw: workers behind a route were passed the X-Budget-Ms that the client had stated, whatever time had gone by: a repeat after 0.4 s said 3,000 ms where 2,600 were left. Jobs of POST /api and of tubes stated nothing. Cause: the fields of a route's client pass as they came, and neither the permit of the first byte nor its audit was told the time. Change: the time that is left is part of the message that every worker protocol takes apart; permit and audit know it for plain workers too.

--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -129,11 +129,13 @@
     /// Data of a listener of the same protocol.
     pub protocol_data: Option<&'a Rc<dyn Any>>,
     pub body: &'a Body,
+    /// How long the dispatcher still waits for an answer.
+    pub time_left: Duration,
 }
 
 impl Forward {
-    /// The message of this attempt. A new field of [`Job`] does not compile until it is decided here whether it is sent.
-    pub fn message(&self) -> AttemptMessage<'_> {
+    /// The message of this attempt, if it is sent at `now`. A new field of [`Job`] does not compile until it is decided here whether it is sent.
+    pub fn message(&self, now: Instant) -> AttemptMessage<'_> {
         let Job {
             reference,
             idempotency_key,
@@ -153,6 +155,7 @@
             path,
             protocol_data: protocol_data.as_ref(),
             body,
+            time_left: self.deadline.saturating_duration_since(now),
         }
     }
 }
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -265,26 +265,25 @@
                 return true;
             }
         };
-        let left = forward.deadline.saturating_duration_since(Instant::now());
+        // A job in a tube has no path, and its first line has no place for the time that is left.
+        let AttemptMessage { reference, idempotency_key, body, time_left, path: _, protocol_data: _ } =
+            forward.message(Instant::now());
         let permit = self.flows.send_permit(forward, None);
         if permit.and_then(|permit| permit.check_age(Instant::now())).is_err() {
             // The worker drains, or the flow is over or cancelled since this was decided: nothing is sent.
             self.flows.forward_ended(forward_id, Outcome::Moot, None);
             return false;
         }
-        // A job in a tube has no path.
-        let AttemptMessage { reference, idempotency_key, body, path: _, protocol_data: _ } =
-            forward.message();
         let key = idempotency_key.map_or_else(|| ABSENT.to_owned(), encode_word);
         let head = format!("{} {reference} {key}\n", self.answers_tube);
         let body = body.whole();
         let size = head.len() + body.len();
-        let ttr = (left + TTR_MARGIN).as_secs();
+        let ttr = (time_left + TTR_MARGIN).as_secs();
         let mut request = format!("put 1024 0 {ttr} {size}\r\n{head}").into_bytes();
         request.extend_from_slice(&body);
         request.extend_from_slice(b"\r\n");
         self.flows.first_byte_written(forward, None);
-        let reply = match open.request(&request, left.min(COMMAND_TIMEOUT)).await {
+        let reply = match open.request(&request, time_left.min(COMMAND_TIMEOUT)).await {
             Ok(reply) => reply,
             Err(_) => {
                 // The job may have been stored.
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -309,13 +309,13 @@
     }
 
     async fn post(&self, forward: &Forward, gate: &Rc<Gate>) {
-        let AttemptMessage { reference, idempotency_key, path, body, protocol_data: _ } = forward.message();
+        let AttemptMessage { reference, idempotency_key, path, body, time_left, protocol_data: _ } =
+            forward.message(Instant::now());
         if self.flows.send_permit(forward, None).is_err() {
             // For example, the worker has begun to drain since the decision; no connection is opened for it.
             return self.end_forward(reference, forward.id, Outcome::Moot, None, None);
         }
-        let left = forward.deadline.saturating_duration_since(Instant::now());
-        let budget = self.worker_budget(left);
+        let budget = self.worker_budget(time_left);
         gate.set_budget_sent(budget);
         let budget = budget.as_millis().to_string();
         let mut headers = vec![
@@ -324,7 +324,7 @@
             (header::CONTENT_TYPE.as_str(), "application/octet-stream"),
         ];
         headers.extend(idempotency_key.map(|key| ("Idempotency-Key", key)));
-        let (addr, body, time_limit) = (forward.addr, body.whole(), (ACCEPT_TIMEOUT, left));
+        let (addr, body, time_limit) = (forward.addr, body.whole(), (ACCEPT_TIMEOUT, time_left));
         let answer = self
             .client
             .call_gated(gate, Method::POST, addr, path, &headers, body, time_limit, MAX_ANSWER_BYTES)
--- a/dispatcher/src/targets/upstream.rs
+++ b/dispatcher/src/targets/upstream.rs
@@ -27,6 +27,8 @@
 use tokio::task::JoinHandle;
 use tracing::warn;
 
+/// The field that states how long the dispatcher waits for an answer, in whole milliseconds.
+const BUDGET_FIELD: &str = "x-budget-ms";
 /// Bytes that are read at a time.
 const READ_CHUNK: usize = 16 << 10;
 /// The longest answer for a listener that only takes complete ones.
@@ -83,6 +85,13 @@
     }
 }
 
+/// The time that a request states to its worker. A route passes on only what its client has stated; the platform's jobs always
+/// state it.
+fn stated_budget(context: Option<&RequestContext>, time_left: Duration) -> Option<Duration> {
+    let is_stated = context.is_none_or(|context| context.head.headers.contains_key(BUDGET_FIELD));
+    is_stated.then_some(time_left)
+}
+
 /// Why there is no connection.
 enum ConnectFailure {
     /// The connection timed out or was refused.
@@ -195,12 +204,14 @@
         }
         // The worker may have begun to drain, or the client may have left, since the decision. Nothing may be
         // awaited between the permit and the write.
-        let permit = self.0.flows.send_permit(forward, None);
+        let message = forward.message(Instant::now());
+        let context = message.protocol_data.and_then(|data| data.downcast_ref::<RequestContext>());
+        let budget = stated_budget(context, message.time_left);
+        let permit = self.0.flows.send_permit(forward, budget);
         if permit.and_then(|permit| permit.check_age(Instant::now())).is_err() {
             return ForwardEnd { external_cause: true, ..never_ran() };
         }
-        let context = forward.message().protocol_data.and_then(|data| data.downcast_ref::<RequestContext>());
-        let (head, framing, body) = match self.request(forward.message(), forward.addr, context) {
+        let (head, framing, body) = match self.request(message, forward.addr, context) {
             Some(request) => request,
             None => return ForwardEnd { external_cause: true, ..never_ran() },
         };
@@ -219,7 +230,7 @@
             return ForwardEnd { external_cause: true, ..never_ran() };
         };
         let written = write.write_all(&bytes).await;
-        self.0.flows.first_byte_written(forward, None);
+        self.0.flows.first_byte_written(forward, budget);
         if written.is_err() {
             return ForwardEnd::of(classify(stage.get(), AttemptEnd::Broken));
         }
@@ -264,7 +275,7 @@
     }
 
     /// Builds the request: the original request of a proxying route, or a `POST` of the body for other listeners. Either
-    /// carries the id and the key of the job. `None` if the body can no longer be sent.
+    /// carries the id and the key of the job, and the time that is left if it states one. `None` if the body can no longer be sent.
     fn request(
         &self,
         message: AttemptMessage,
@@ -272,7 +283,7 @@
         context: Option<&RequestContext>,
     ) -> Option<(RequestHead, Framing, BodySource)> {
         // The original request of a route is in `context`.
-        let AttemptMessage { reference, idempotency_key, path, body, protocol_data: _ } = message;
+        let AttemptMessage { reference, idempotency_key, path, body, time_left, protocol_data: _ } = message;
         let mut head = match context {
             Some(context) => context.head.clone(),
             None => RequestHead { method: Method::POST, target: path.to_owned(), headers: HeaderMap::new() },
@@ -286,6 +297,9 @@
         if let Some(key) = idempotency_key {
             head.headers.insert("idempotency-key", HeaderValue::from_str(key).ok()?);
         }
+        if let Some(budget) = stated_budget(context, time_left) {
+            head.headers.insert(BUDGET_FIELD, HeaderValue::from(budget.as_millis() as u64));
+        }
         let (framing, source) = match body {
             Body::Buffered(bytes) if bytes.is_empty() => (Framing::None, BodySource::Whole(None)),
             Body::Buffered(bytes) => {
--- a/dispatcher/tests/attempt_messages.rs
+++ b/dispatcher/tests/attempt_messages.rs
@@ -217,3 +217,19 @@
     assert_eq!(peer.attempt(&rig, true, Duration::ZERO).key, first.key);
     assert!(is_served(&mut client, way));
 }
+
+/// Guards against passing on the time that the client stated to an attempt that begins later: the worker would work for a client
+/// that no longer waits.
+#[rstest]
+fn an_attempt_states_the_time_that_its_client_still_waits(
+    #[values(Protocol::Platform, Protocol::Plain)] protocol: Protocol,
+    #[values(Way::Api, Way::Route)] way: Way,
+) {
+    let (peer, rig) = start(protocol);
+    let (budget_ms, held_ms, slack_ms) = (3000, 400, 150);
+    let mut client = submit(&rig, way, "quote", &format!("X-Budget-Ms: {budget_ms}\r\n"));
+    let first = peer.attempt(&rig, false, Duration::from_millis(held_ms)).budget_ms.expect("a stated time");
+    let second = peer.attempt(&rig, true, Duration::ZERO).budget_ms.expect("a stated time");
+    assert!(first <= budget_ms && second <= budget_ms - held_ms + slack_ms, "{first} ms, then {second} ms");
+    assert!(is_served(&mut client, way));
+}
