--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -381,11 +381,19 @@
         }
     }
 
+    /// Begins the flows whose delay is over.
+    fn begin_due(&self, now: Instant) {
+        let (begun, effects) = self.core.borrow_mut().begin_due(now, &self.watch_requested);
+        if !effects.is_empty() {
+            self.apply_effects(effects);
+        }
+        begun.into_iter().for_each(|id| self.begin(id));
+    }
+
     fn run_due(&self) {
         let now = Instant::now();
-        let (begun, mut effects) = self.core.borrow_mut().begin_due(now, &self.watch_requested);
-        self.apply_effects(std::mem::take(&mut effects));
-        begun.into_iter().for_each(|id| self.begin(id));
+        self.begin_due(now);
+        let mut effects = Vec::new();
         {
             let core = &mut *self.core.borrow_mut();
             let decisions = core.facade.tick();
--- a/dispatcher/tests/beanstalkd.rs
+++ b/dispatcher/tests/beanstalkd.rs
@@ -315,6 +315,33 @@
     assert!(rig.workers[0].has_no_request());
 }
 
+/// A delay that ends after acceptance, and a budget that is over before the last answers are due: nothing is cut short.
+#[test]
+fn a_delayed_job_that_can_be_finished_begins_after_sigterm() {
+    let mut rig = start(1);
+    let mut client = client(&rig);
+    let id = put(&mut client, "orders", 2);
+    rig.terminate();
+    let reference = rig.workers[0].accept_job();
+    rig.send_job_update(0, &reference, "done", DONE);
+    let answer = fetch(&mut client);
+    assert!(answer.starts_with(&format!("{id} ")) && !answer.contains("refused"), "{answer}");
+    assert!(rig.wait_for_exit().success());
+}
+
+/// A job in its delay takes no place from others, and has none for certain when it begins.
+#[test]
+fn a_job_that_finds_no_room_at_the_end_of_its_delay_is_refused() {
+    let settings = SETTINGS.replace(r#""most_held": 50"#, r#""most_held": 1"#);
+    let rig = Rig::with_settings(1, &settings, Some(&operator_config("")));
+    let mut client = client(&rig);
+    let id = put(&mut client, "statements", 1);
+    let _in_work = rig.post("c1", "quote", "");
+    rig.workers[0].accept_job();
+    assert_eq!(fetch(&mut client), format!("{id} refused 1.000\n"));
+    assert!(rig.workers[0].has_no_request());
+}
+
 /// The end of the delay and SIGTERM are both pending when the process resumes: the job is executed, in either order.
 #[test]
 fn a_job_whose_delay_ends_as_the_process_stops_is_served() {
