--- a/dispatcher/tests/attempt_messages.rs
+++ b/dispatcher/tests/attempt_messages.rs
@@ -9,7 +9,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// The platform may send SIGKILL this long after SIGTERM: the longest deadline, at most 3 s, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
 
 /// The worker's side of one protocol.
 enum Peer {
@@ -36,6 +39,18 @@
     Tube,
 }
 
+/// How a worker ends an attempt.
+#[derive(Clone, Copy, PartialEq)]
+enum Ending {
+    Result,
+    /// The attempt may have run: its connection breaks, or a beanstalkd worker reports a failure.
+    Break,
+    /// The attempt never ran.
+    Refusal,
+    /// The attempt stays in work.
+    None,
+}
+
 /// What one attempt told the worker.
 #[derive(Debug, PartialEq)]
 struct Told {
@@ -70,27 +85,35 @@
         }
     }
 
-    /// Receives an attempt that may have run, and ends it `after` some time: with a result, or by breaking its connection.
-    fn attempt(&self, rig: &Rig, serves: bool, after: Duration) -> Told {
+    /// Receives an attempt, and ends it after some time.
+    fn attempt(&self, rig: &Rig, ending: Ending, after: Duration) -> Told {
         match self {
             Peer::Platform(worker) | Peer::Plain(worker) => {
                 let request = next_post(worker);
                 let told = Told::from_headers(&request.message.headers);
                 thread::sleep(after);
-                match (serves, self) {
-                    (false, _) => drop(request),
-                    (true, Peer::Plain(_)) => request.respond("200 OK"),
-                    (true, _) => {
-                        request.respond("202 Accepted");
-                        rig.send_job_update_from("w0", &told.reference, "done", r#","result":"x""#);
-                    }
+                match (ending, self) {
+                    (Ending::Break, _) => drop(request),
+                    (Ending::Refusal, _) => request.respond("503 No\r\nX-Rejected: 1"),
+                    (Ending::Result, Peer::Plain(_)) => request.respond("200 OK"),
+                    // The connection stays open.
+                    (Ending::None, Peer::Plain(_)) => std::mem::forget(request),
+                    (Ending::Result | Ending::None, _) => request.respond("202 Accepted"),
+                }
+                if ending == Ending::Result && matches!(self, Peer::Platform(_)) {
+                    rig.send_job_update_from("w0", &told.reference, "done", r#","result":"x""#);
                 }
                 told
             }
             Peer::Beanstalkd(server) => {
                 let job = server.reserve_job();
                 thread::sleep(after);
-                server.report(&job, if serves { "served" } else { "failed" }, "");
+                match ending {
+                    Ending::Result => server.report(&job, "served", ""),
+                    Ending::Break => server.report(&job, "failed", ""),
+                    Ending::Refusal => server.report(&job, "refused", ""),
+                    Ending::None => server.report(&job, "started", ""),
+                }
                 let key = Some(job.key).filter(|key| key != "-");
                 Told { reference: job.reference, key, budget_ms: None }
             }
@@ -173,21 +196,52 @@
     #[values(Protocol::Platform, Protocol::Plain, Protocol::Beanstalkd)] protocol: Protocol,
     #[values(Way::Api, Way::Route, Way::Tube)] way: Way,
     #[values("quote", "statement", "order")] class: &str,
+    #[values(Ending::Break, Ending::Refusal)] ending: Ending,
 ) {
     let (peer, rig) = start(protocol);
     // A client that names the key as a field of the hop must not make it disappear.
     let mut client = submit(&rig, way, class, "Idempotency-Key: k1\r\nConnection: idempotency-key\r\n");
-    let first = peer.attempt(&rig, false, Duration::ZERO);
+    let first = peer.attempt(&rig, ending, Duration::ZERO);
     if way == Way::Tube {
         assert!(first.key.is_some() && first.reference.ends_with("-1"), "{first:?}");
     } else {
         assert_eq!((&*first.reference, first.key.as_deref()), ("c1", Some("k1")));
     }
-    if class != "order" {
-        let second = peer.attempt(&rig, true, Duration::ZERO);
+    let is_repeated = class != "order" || ending == Ending::Refusal;
+    if is_repeated {
+        let second = peer.attempt(&rig, Ending::Result, Duration::ZERO);
         assert_eq!((&second.reference, &second.key), (&first.reference, &first.key));
     }
-    assert_eq!(is_served(&mut client, way), class != "order");
+    assert_eq!(is_served(&mut client, way), is_repeated);
+}
+
+/// Whatever listener a job came by and whatever its worker speaks, the client is not left without an answer, nor is it told that a
+/// job which is in work can safely be sent again.
+#[rstest]
+fn a_job_in_work_at_sigterm_fails_before_the_earliest_kill(
+    #[values(Protocol::Platform, Protocol::Plain, Protocol::Beanstalkd)] protocol: Protocol,
+    #[values(Way::Api, Way::Route, Way::Tube)] way: Way,
+    #[values("quote", "statement", "order")] class: &str,
+) {
+    let (peer, mut rig) = start(protocol);
+    let mut client = submit(&rig, way, class, "");
+    peer.attempt(&rig, Ending::None, Duration::ZERO);
+    rig.terminate();
+    let terminated_at = Instant::now();
+    match way {
+        Way::Api | Way::Route => assert_eq!(client.read_response().status(), 504),
+        Way::Tube => {
+            let (id, answer) = client.reserve();
+            assert!(answer.contains(" failed "), "{answer}");
+            assert_eq!(client.command(&format!("delete {id}")), "DELETED");
+        }
+    }
+    assert!(terminated_at.elapsed() < EARLIEST_KILL, "{:?}", terminated_at.elapsed());
+    assert!(rig.wait_for_exit().success());
+    // An attempt that takes long is cancelled and repeated where the class permits it.
+    if let (Peer::Platform(worker) | Peer::Plain(worker), "order") = (&peer, class) {
+        assert!(worker.request_lines().iter().all(|line| !line.starts_with("POST ")));
+    }
 }
 
 /// Guards against a key that splits the first line of a job in a tube, or that reads there as the word for no key: the worker
@@ -199,7 +253,7 @@
 fn a_key_is_one_word_in_a_tube_whatever_its_characters(#[case] key: &str, #[case] word: &str) {
     let (peer, rig) = start(Protocol::Beanstalkd);
     let mut client = submit(&rig, Way::Api, "statement", &format!("Idempotency-Key: {key}\r\n"));
-    assert_eq!(peer.attempt(&rig, true, Duration::ZERO).key.as_deref(), Some(word));
+    assert_eq!(peer.attempt(&rig, Ending::Result, Duration::ZERO).key.as_deref(), Some(word));
     assert!(is_served(&mut client, Way::Api));
 }
 
@@ -212,9 +266,9 @@
 ) {
     let (peer, rig) = start(protocol);
     let mut client = submit(&rig, way, class, "");
-    let first = peer.attempt(&rig, false, Duration::ZERO);
+    let first = peer.attempt(&rig, Ending::Break, Duration::ZERO);
     assert_eq!(first.key.is_some(), is_keyed, "{first:?}");
-    assert_eq!(peer.attempt(&rig, true, Duration::ZERO).key, first.key);
+    assert_eq!(peer.attempt(&rig, Ending::Result, Duration::ZERO).key, first.key);
     assert!(is_served(&mut client, way));
 }
 
@@ -228,8 +282,9 @@
     let (peer, rig) = start(protocol);
     let (budget_ms, held_ms, slack_ms) = (3000, 400, 150);
     let mut client = submit(&rig, way, "quote", &format!("X-Budget-Ms: {budget_ms}\r\n"));
-    let first = peer.attempt(&rig, false, Duration::from_millis(held_ms)).budget_ms.expect("a stated time");
-    let second = peer.attempt(&rig, true, Duration::ZERO).budget_ms.expect("a stated time");
+    let first =
+        peer.attempt(&rig, Ending::Break, Duration::from_millis(held_ms)).budget_ms.expect("a stated time");
+    let second = peer.attempt(&rig, Ending::Result, Duration::ZERO).budget_ms.expect("a stated time");
     assert!(first <= budget_ms && second <= budget_ms - held_ms + slack_ms, "{first} ms, then {second} ms");
     assert!(is_served(&mut client, way));
 }
