--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -134,7 +134,8 @@
 }
 
 impl Forward {
-    /// The message of this attempt, if it is sent at `now`. A new field of [`Job`] does not compile until it is decided here whether it is sent.
+    /// The message of this attempt, if it is sent at `now`. A new field of [`Job`] does not compile until it is decided here
+    /// whether it is sent.
     pub fn message(&self, now: Instant) -> AttemptMessage<'_> {
         let Job {
             reference,
--- a/dispatcher/src/stop.rs
+++ b/dispatcher/src/stop.rs
@@ -107,10 +107,13 @@
             wait_while(CANCEL_TIMEOUT, || flows.forwards_in_flight() > 0).await;
         }
         info!("SIGTERM: every request has its answer");
-        let unfetched = || beanstalkd.as_ref().map_or(0, |listener| listener.unfinished_jobs());
-        wait_while(UNRESERVED_ANSWER_GRACE, || unfetched() > 0).await;
-        if unfetched() > 0 {
-            warn!(answers = unfetched(), "SIGTERM: answers that no client has fetched are lost");
+        let kept_answers = || beanstalkd.as_ref().map_or(0, |listener| listener.unfinished_jobs());
+        wait_while(UNRESERVED_ANSWER_GRACE, || kept_answers() > 0).await;
+        if kept_answers() > 0 {
+            warn!(
+                answers = kept_answers(),
+                "SIGTERM: answers that their clients have not deleted are dropped"
+            );
         }
         wait_while(STREAM_GRACE, || flows.streaming_answers() > 0).await;
         if flows.streaming_answers() > 0 {
