--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,7 +7,7 @@
 
 use crate::admission::Admission;
 use crate::api::*;
-use crate::slow_start::{ColdBudget, CostSource};
+use crate::slow_start::ColdBudget;
 use crate::state::*;
 use fastrand::Rng;
 use lru::LruCache;
@@ -505,18 +505,7 @@
         let budget = self.cold_budget(ix);
         let seed = self.cold_seed ^ budget.started.rotate_left(32) ^ u64::from(w.entry.worker.0);
         let phase = Rng::with_seed(seed).f64();
-        let cost = self.cost_source(job).required(self.slot_time(job, ix));
-        budget.allows(cost, phase, self.fleet.known_since, w.overdraft, self.now)
-    }
-
-    fn cost_source(&self, job: &Job) -> CostSource {
-        let Request { class, key, work, slots, .. } = &job.request;
-        let has_own_type = job.job_type != class.0;
-        match (key, work.is_some() || has_own_type) {
-            (None, _) => CostSource::Class,
-            (Some(_), true) => CostSource::Key { class_mean: self.class_response[class.0] * slots.max(1.0) },
-            (Some(_), false) => CostSource::UnknownKey,
-        }
+        budget.allows(self.slot_time(job, ix), phase, self.fleet.known_since, w.overdraft, self.now)
     }
 
     fn cold_budget(&self, ix: WorkerIndex) -> ColdBudget<'_> {
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -11,32 +11,6 @@
 /// Part of the budget that is used. The rest covers random variation and unusually large jobs.
 const BUDGET_MARGIN: f64 = 0.6;
 
-/// The most by which the cost of a job with a key is multiplied in the budget.
-const MAX_KEY_FACTOR: f64 = 4.0;
-
-/// What is known of the slot time that a job takes. A key may cost many times as much as its class in the mean.
-#[derive(Clone, Copy, Debug)]
-pub enum CostSource {
-    /// The job has no key: its class is what is known.
-    Class,
-    /// Stated by the client, or measured on jobs of the same key. `class_mean`: the slot time of a job of the class.
-    Key { class_mean: f64 },
-    /// The job has a key of which little has been served, so that the mean of its class says little.
-    UnknownKey,
-}
-
-impl CostSource {
-    /// The slot time that a job of this estimated `cost` must find in the budget. Large jobs need more than they take: in the
-    /// overload span only a few of them fit, so that chance brings together more than the budget more often.
-    pub fn required(self, cost: f64) -> f64 {
-        match self {
-            CostSource::Class => cost,
-            CostSource::Key { class_mean } => cost * (cost / class_mean).sqrt().clamp(1.0, MAX_KEY_FACTOR),
-            CostSource::UnknownKey => cost * MAX_KEY_FACTOR,
-        }
-    }
-}
-
 /// Slot time that an instance has sent to a worker beyond its part of the budget, at time `as_of`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overdraft {
@@ -72,7 +46,7 @@
         (overdraft.slot_time - paid_back).max(0.0)
     }
 
-    /// Whether a job that requires `cost` of slot time may be sent. `phase`, from 0 to 1, is the instance's
+    /// Whether a job that takes `cost` of slot time may be sent. `phase`, from 0 to 1, is the instance's
     /// random offset for this start of the worker. Only growth within half of the overload span counts, so
     /// that no budget accumulates, and only from `known_since` on: what an earlier process of this instance
     /// sent is not known, so its budget is assumed to be used up.
--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -602,10 +602,10 @@
     );
 }
 
-/// Draws in which jobs with keys exceeded the bound while they were budgeted at their estimate alone. Some keys
-/// cost many times as much as their class. That is known to the instances (63), or unknown because a key is
-/// seldom served (78) or because the process has just started and only short jobs have ended (175: jobs with a
-/// mean of 294 ms are estimated at 46 to 164 ms).
+/// Draws in which jobs with keys exceed the bound. Some keys cost many times as much as their class. That is
+/// known to the instances (63), or unknown because a key is seldom served (78) or because the process has
+/// just started and only short jobs have ended (175: jobs with a mean of 294 ms are estimated at 46 to 164
+/// ms).
 const SEEDS_OVER_THE_BOUND: [u64; 3] = [63, 78, 175];
 
 /// Jobs with keys must keep to the same budget as all others.
