A request id is open in one process of a dispatcher only

Callers saw: while the process is replaced, a second client that sends the id of an open request is served, its worker gets a second attempt of a request that runs, and one client may get the result of the other.

Cause: Flows::open asked the references of its own process alone. Generated ids and keys were made of name, seed and a number, which two processes of one seed share.

Change: an open flow holds a lock of the kernel (F_OFD_SETLK) on one byte of a file that the processes of an inherited socket share. It is set in the step that opens the flow and goes with the flow or the process. Where the lock can't be had and a sibling may run, the answer is 503. Generated ids hold the process id. It works because there is one keeper, which neither stops nor has to be asked over a connection.

--- a/dispatcher/src/config/checked.rs
+++ b/dispatcher/src/config/checked.rs
@@ -114,6 +114,8 @@
     /// Maximum duration of an override in milliseconds.
     pub max_override_ms: u64,
     pub state_dir: Option<StateDir>,
+    /// Directory below `$TMPDIR` that all processes of this dispatcher share.
+    pub shared_dir: PathBuf,
 }
 
 /// The directory in which overrides are stored.
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -210,14 +210,13 @@
     let admin = check_admin(operator.admin.as_ref(), faults);
     let max_override_ms = max_override_ms(&operator, faults);
     let state_dir = check_state_dir(operator.state_dir.as_deref(), faults);
+    let tmp = variable("TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from);
+    let shared_dir = tmp.join(format!("lineroute-{name}"));
     // Cordons set through the admin console must survive a replacement of the process: without a state directory they
     // are stored below `$TMPDIR`.
     let state_dir = match (state_dir, admin_console.flatten()) {
         (Some(path), _) => Some(StateDir::Named(path)),
-        (None, Some(_)) => {
-            let tmp = variable("TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from);
-            Some(StateDir::Temporary(tmp.join(format!("lineroute-{name}"))))
-        }
+        (None, Some(_)) => Some(StateDir::Temporary(shared_dir.clone())),
         (None, None) => None,
     };
     let peers = operator.peers.as_ref().and_then(|p| check_peers(p, &raw, platform.as_ref(), faults));
@@ -320,6 +319,7 @@
         fleet,
         max_override_ms: max_override_ms?,
         state_dir,
+        shared_dir,
     })
 }
 
--- a/dispatcher/src/flow/contract.rs
+++ b/dispatcher/src/flow/contract.rs
@@ -259,8 +259,10 @@
 /// Why a flow could not be opened.
 #[derive(Debug, PartialEq)]
 pub enum OpenError {
-    /// A flow with the same reference is still open.
+    /// A flow with the same reference is still open, in this process or in another one of the dispatcher.
     Duplicate,
+    /// Whether another process has a flow with the same reference can't be determined now.
+    ReferenceUnverified,
     /// A limit of [`Bounds`] is reached.
     Full,
 }
--- a/dispatcher/src/flow/core.rs
+++ b/dispatcher/src/flow/core.rs
@@ -1,11 +1,12 @@
 //! The state behind [`super::Flows`]: open flows, their deadlines and the forwards in flight. Every state
 //! change happens here and returns the effects that have to be carried out.
 
-use super::contract::{Answer, Bounds, Endpoint, Forward, ForwardId, Job, Listener};
+use super::contract::{Answer, Bounds, Endpoint, Forward, ForwardId, Job, Listener, OpenError};
 use super::permit_stats::PermitStats;
 use super::DEADLINE_FALLBACK_DELAY;
 use crate::facade::{Decision, DispatchEvent, Facade, FlowId, FlowRequest, Load, Outcome, Stage, TargetId};
 use crate::list::monitor::ListMonitor;
+use crate::siblings::reference_locks::{LockError, ReferenceLock, ReferenceLocks};
 use bytes::Bytes;
 use lineroute_permit::{EarlierAttempts, RetryFacts, RetryPermit};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -35,6 +36,8 @@
     /// Set once the answer is being streamed, which ties the flow to the forward in flight: the time until its
     /// head arrived.
     pub(super) head_latency: Option<Duration>,
+    /// Keeps the reference from being opened in another process until the flow is removed.
+    pub(super) _reference_lock: Option<ReferenceLock>,
 }
 
 pub(super) struct InFlight {
@@ -71,6 +74,8 @@
     pub(super) facade: Facade,
     pub(super) flows: FxHashMap<FlowId, Flow>,
     pub(super) references: FxHashSet<String>,
+    /// Set if other processes of this dispatcher may accept requests.
+    pub(super) reference_locks: Option<Rc<ReferenceLocks>>,
     pub(super) deadlines: BTreeSet<(Instant, FlowId)>,
     /// Flows that wait for the end of their delay.
     pub(super) delayed: BTreeSet<(Instant, FlowId)>,
@@ -104,6 +109,23 @@
         begun < self.bounds.flows && self.body_bytes + size <= self.bounds.bytes
     }
 
+    /// Makes a reference that of an open flow, unless it already is, in this process or in another one.
+    pub(super) fn claim_reference(&mut self, reference: &str) -> Result<Option<ReferenceLock>, OpenError> {
+        if self.references.contains(reference) {
+            return Err(OpenError::Duplicate);
+        }
+        let lock = match self.reference_locks.as_ref().map(|locks| locks.lock(reference)).transpose() {
+            Ok(lock) => lock,
+            Err(LockError::Held) => return Err(OpenError::Duplicate),
+            Err(error @ LockError::Unavailable(_)) => {
+                warn!(reference, error = %error, "flow not opened");
+                return Err(OpenError::ReferenceUnverified);
+            }
+        };
+        self.references.insert(reference.to_owned());
+        Ok(lock)
+    }
+
     /// Begins the flows whose delay is over. Returns those that have to be dispatched, and the effects of refusing the others,
     /// which exceed the bounds.
     pub(super) fn begin_due(&mut self, now: Instant, watch: &Notify) -> (Vec<FlowId>, Vec<Effect>) {
--- a/dispatcher/src/flow/mod.rs
+++ b/dispatcher/src/flow/mod.rs
@@ -19,6 +19,7 @@
 use crate::facade::{DispatchEvent, Facade, FlowId, FlowRequest, Load, Outcome};
 use crate::fleet::prober::ProbeCoordinator;
 use crate::list::monitor::ListMonitor;
+use crate::siblings::reference_locks::ReferenceLocks;
 use bytes::Bytes;
 use lineroute_permit::{RepeatSafety, StartPermit};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -54,6 +55,7 @@
             facade,
             flows: FxHashMap::default(),
             references: FxHashSet::default(),
+            reference_locks: None,
             deadlines: BTreeSet::new(),
             delayed: BTreeSet::new(),
             targets: FxHashMap::default(),
@@ -80,6 +82,11 @@
         }
     }
 
+    /// Keeps references unique over all processes of this dispatcher. Called before the first flow is opened.
+    pub fn set_reference_locks(&self, locks: Rc<ReferenceLocks>) {
+        self.core.borrow_mut().reference_locks = Some(locks);
+    }
+
     /// Registers a target implementation and returns its index.
     pub fn add_target(&self, target: Rc<dyn Target>) -> usize {
         let mut targets = self.targets.borrow_mut();
@@ -123,9 +130,7 @@
             if begins_at.is_none() && !core.has_room(size) {
                 return Err(OpenError::Full);
             }
-            if !core.references.insert(job.reference.clone()) {
-                return Err(OpenError::Duplicate);
-            }
+            let reference_lock = core.claim_reference(&job.reference)?;
             core.last_flow_id += 1;
             let id = FlowId(core.last_flow_id);
             match begins_at {
@@ -157,6 +162,7 @@
                     may_have_run: false,
                     client_left_at: None,
                     head_latency: None,
+                    _reference_lock: reference_lock,
                 },
             );
             id
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -117,7 +117,7 @@
     }
 
     /// Whether a process that is not known as a sibling, and so can't be called, may accept from the same socket.
-    fn may_have_sibling(&self) -> bool {
+    pub fn may_have_sibling(&self) -> bool {
         self.socket_shared && (self.draining.get() || self.started_at.elapsed() < REPLACEMENT_OVERLAP)
     }
 
@@ -473,7 +473,7 @@
         };
         let budget = budget.saturating_sub(arrived.elapsed());
         match self.take(job, budget, permit).await {
-            Err(OpenError::Full) => unavailable(BUSY_RETRY_AFTER),
+            Err(OpenError::Full | OpenError::ReferenceUnverified) => unavailable(BUSY_RETRY_AFTER),
             Err(OpenError::Duplicate) => text_response(StatusCode::CONFLICT, "this id is in work\n"),
             Ok(Some(Answer::Served(result))) => respond(StatusCode::OK, result, None),
             Ok(Some(Answer::Refused(after))) => unavailable(after),
--- a/dispatcher/src/listeners/pass.rs
+++ b/dispatcher/src/listeners/pass.rs
@@ -119,7 +119,9 @@
             Some(Rc::new(RequestContext { head, client, length, pace: proxy.progress_limits, answer }));
         let budget = budget.saturating_sub(arrived.elapsed());
         match self.take(job, budget, permit).await {
-            Err(OpenError::Full) => unavailable(BUSY_RETRY_AFTER).map_into_boxed_body(),
+            Err(OpenError::Full | OpenError::ReferenceUnverified) => {
+                unavailable(BUSY_RETRY_AFTER).map_into_boxed_body()
+            }
             Err(OpenError::Duplicate) => text(StatusCode::CONFLICT, "this id is in work\n"),
             Ok(Some(Answer::Passing(passed))) => match passed.head.downcast::<ResponseHead>() {
                 Ok(head) => proxied_response(*head, passed.body, &method, slot),
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -43,9 +43,11 @@
 use overrides::Overrides;
 use peers::discovery_reports::DiscoveryReports;
 use rustc_hash::FxHashMap;
+use siblings::reference_locks::ReferenceLocks;
 use siblings::Siblings;
 use std::cell::{Cell, OnceCell};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -289,7 +291,16 @@
     let slots = ConnectionSlots::new(config.max_client_connections, arrivals.clone());
     stops::at("start.listen");
     let socket = listeners::socket::open(origin).await?;
-    let prefix = format!("{}-{:x}", config.name, config.seed);
+    let siblings = calls.as_ref().and_then(|calls| calls.siblings.clone());
+    if shared {
+        let (lifecycle, siblings) = (lifecycle.clone(), siblings.clone());
+        let may_have_sibling =
+            move || lifecycle.may_have_sibling() || siblings.as_ref().is_some_and(|s| s.knows_any());
+        let locks = ReferenceLocks::open(&config.shared_dir, socket.as_fd(), Box::new(may_have_sibling));
+        flows.set_reference_locks(locks.map_err(|e| format!("GW_FD: {e}"))?);
+    }
+    // Processes of one dispatcher may have the same seed.
+    let prefix = format!("{}-{:x}-{:x}", config.name, config.seed, std::process::id());
     let beanstalkd = match config.beanstalkd {
         Some(settings) => {
             let socket = bind_beanstalkd(settings.listen).await?;
@@ -318,7 +329,6 @@
     }
     // The admin console and the siblings come before clients are served, since an operator's command that concerns those clients
     // may reach a sibling.
-    let siblings = calls.as_ref().and_then(|calls| calls.siblings.clone());
     stops::at("start.console");
     let console = match config.admin_console {
         Some(at) => Some(admin::console::bind(at).await?),
--- a/dispatcher/src/siblings/mod.rs
+++ b/dispatcher/src/siblings/mod.rs
@@ -4,10 +4,12 @@
 //! Each process publishes the address of its admin console ([`registry`]) and introduces itself to those that it finds there, so
 //! that they know of it even if it can't publish because the file system is full. Calls go to the admin console ([`protocol`]): no
 //! further listener is needed, and the kernel refuses connections to a process that has exited. A stalled process gives no answer,
-//! and no other process answers on its behalf.
+//! and no other process answers on its behalf. What must be unique over all processes, the references of open requests, is decided
+//! by the kernel without a call ([`reference_locks`]).
 
 mod client;
 pub mod protocol;
+pub mod reference_locks;
 mod registry;
 
 use crate::overrides::Overrides;
@@ -116,6 +118,11 @@
         self.registry.remove(&self.own);
     }
 
+    /// Whether another process has introduced itself and is not known to have exited.
+    pub fn knows_any(&self) -> bool {
+        !self.introduced.borrow().is_empty()
+    }
+
     /// The other processes that may be running.
     fn others(&self) -> std::io::Result<Vec<Introduction>> {
         let mut others = self.introduced.borrow().clone();
--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -24,6 +24,8 @@
     Hangs,
     /// Accepts the job and reports a result, each update on a new connection.
     Serves,
+    /// Reads the request and sends nothing, as a plain HTTP worker does that is still computing.
+    Silent,
 }
 
 /// An attempt received by a worker.
@@ -76,6 +78,13 @@
         self.arrivals.lock().expect("a lock").len()
     }
 
+    /// The worker of each attempt of a job, in the order of their arrival.
+    pub fn attempts_of(&self, reference: &str) -> Vec<String> {
+        let arrivals = self.arrivals.lock().expect("a lock");
+        let of_job = arrivals.iter().filter(|arrival| arrival.reference == reference);
+        of_job.map(|arrival| arrival.worker.clone()).collect()
+    }
+
     /// The references of cancelled jobs.
     pub fn cancelled_jobs(&self) -> Vec<String> {
         self.given_up.lock().expect("a lock").clone()
@@ -89,6 +98,7 @@
     given_up: &Mutex<Vec<String>>,
     call_back: SocketAddr,
 ) {
+    let mut unanswered = Vec::new();
     loop {
         let Some(request) = worker.next_unless_closed() else { return };
         if let Some(path) = request.message.start_line.strip_prefix("DELETE /jobs/") {
@@ -105,6 +115,7 @@
         let conduct = *conduct.lock().expect("a lock");
         match conduct {
             WorkerBehaviour::Rejects => request.respond("503 Service Unavailable\r\nX-Rejected: 1"),
+            WorkerBehaviour::Silent => unanswered.push(request),
             WorkerBehaviour::Hangs => request.respond("202 Accepted"),
             WorkerBehaviour::Serves => {
                 request.respond("202 Accepted");
@@ -140,6 +151,7 @@
     name: String,
     settings: String,
     pub temp_dir: PathBuf,
+    pub started_at: Instant,
 }
 
 /// One process of a dispatcher.
@@ -167,6 +179,7 @@
             name: format!("replaced{}x{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed)),
             settings: settings.into(),
             temp_dir: create_temp_dir(),
+            started_at: Instant::now(),
         }
     }
 
