--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -9,6 +9,7 @@
 use crate::fleet::api::ReplaceVoterRequest;
 use crate::flow::{Flows, PermitStatsReport};
 use crate::listeners::http::ListenerLifecycle;
+use crate::memory::MemoryBudget;
 use crate::overrides::{now, Overrides};
 use crate::siblings::Siblings;
 use crate::targets::http::HttpTargets;
@@ -39,6 +40,8 @@
     pub flows: Flows,
     pub targets: HttpTargets,
     pub budgets: StreamBudget,
+    /// Memory for requests and results.
+    pub memory: Rc<MemoryBudget>,
     pub overrides: Overrides,
     pub peers: Option<peers::Handle>,
     pub store: Option<store::Handle>,
--- a/dispatcher/src/admin/console.rs
+++ b/dispatcher/src/admin/console.rs
@@ -116,6 +116,7 @@
     let context = ProcessContext {
         overrides: &calls.overrides,
         targets: &calls.targets,
+        memory: &calls.memory,
         is_up: calls.lifecycle.is_ready(),
     };
     let answered = siblings
--- a/dispatcher/src/beanstalkd.rs
+++ b/dispatcher/src/beanstalkd.rs
@@ -2,6 +2,7 @@
 //! encoding of a final answer as a job.
 
 use crate::flow::Answer;
+use crate::memory::{LeasedBuffer, MemoryLease};
 use bytes::Bytes;
 use std::fmt::Write;
 use std::io;
@@ -55,13 +56,24 @@
     }
 }
 
-/// Reads a body and the CRLF that follows it; `None` if something else follows.
-pub async fn read_body(input: &mut (impl AsyncBufRead + Unpin), size: usize) -> io::Result<Option<Bytes>> {
-    let mut body = vec![0; size + 2];
-    input.read_exact(&mut body).await?;
-    let terminated = body.ends_with(b"\r\n");
+/// Number of bytes to lease for a body of `size` bytes: the CRLF that follows it is read with it.
+pub const fn body_lease(size: usize) -> usize {
+    size + 2
+}
+
+/// Reads a body of `size` bytes and the CRLF that follows it into leased memory of [`body_lease`] bytes; `None` if something else
+/// follows.
+pub async fn read_body(
+    input: &mut (impl AsyncBufRead + Unpin),
+    size: usize,
+    lease: MemoryLease,
+) -> io::Result<Option<Bytes>> {
+    let mut body = LeasedBuffer::default();
+    body.extend_room(lease);
+    input.read_exact(body.fill()).await?;
+    let terminated = body.as_ref().ends_with(b"\r\n");
     body.truncate(size);
-    Ok(terminated.then(|| body.into()))
+    Ok(terminated.then(|| body.freeze()))
 }
 
 /// Discards `bytes` bytes of the input.
--- a/dispatcher/src/cli/check.rs
+++ b/dispatcher/src/cli/check.rs
@@ -1,7 +1,7 @@
 //! `lineroute check`.
 
 use super::{print_json, Failure};
-use crate::config::{self, Config, LoadPhase, Sources};
+use crate::config::{self, Config, LoadPhase, MemoryPlan, Sources};
 use serde_json::{json, Value};
 
 /// Prints the resolved configuration, or all of its errors.
@@ -15,6 +15,14 @@
     print_json(&resolved(&config))
 }
 
+/// The parts of the memory limit in KiB, and their sum.
+fn memory(plan: &MemoryPlan) -> Value {
+    let kib = |bytes: usize| bytes >> 10;
+    json!({"process": kib(plan.process), "client_connections": kib(plan.client_connections),
+        "worker_connections": kib(plan.worker_connections), "requests": kib(plan.requests),
+        "streams": kib(plan.streams), "beanstalkd_jobs": kib(plan.beanstalkd_jobs), "sum": kib(plan.sum())})
+}
+
 /// The resolved configuration as JSON, without secret keys.
 fn resolved(config: &Config) -> Value {
     let (platform, ms) = (&config.platform, |micros: u64| micros as f64 / 1000.0);
@@ -49,8 +57,9 @@
         "name": config.name,
         "listen": config.listen.to_string(),
         "discovery": config.discovery.map(|d| d.to_string()),
-        "limits": {"memory_mb": config.memory_bytes >> 20, "client_connections": config.max_client_connections,
+        "limits": {"memory_mb": config.memory.limit >> 20, "client_connections": config.max_client_connections,
             "calls_to_workers": config.max_worker_calls},
+        "memory_kib": memory(&config.memory),
         "known_workers": config.known_workers.as_ref().map_or(0, |k| k.servers.len()),
         "classes": classes,
         "tenants": platform.tenants,
--- a/dispatcher/src/config/checked.rs
+++ b/dispatcher/src/config/checked.rs
@@ -1,5 +1,6 @@
 //! The validated configuration with its defaults, as the rest of the program uses it.
 
+use super::memory::MemoryPlan;
 use crate::admin::auth::AdminKeys;
 use crate::list::HostList;
 use lineroute_control::peers::KeyRing;
@@ -95,7 +96,7 @@
     /// `None` where the operator's file lists the workers.
     pub discovery: Option<SocketAddr>,
     pub seed: u64,
-    pub memory_bytes: usize,
+    pub memory: MemoryPlan,
     pub max_client_connections: usize,
     /// Maximum number of concurrent calls to workers.
     pub max_worker_calls: usize,
--- /dev/null
+++ b/dispatcher/src/config/memory/tests.rs
@@ -0,0 +1,25 @@
+use super::*;
+
+/// Guards against parts that do not know of each other: together they must fit into the limit, for every use.
+#[test]
+fn the_parts_fit_into_the_limit() {
+    for limit in [16, 32, 48, 192].map(|megabytes: usize| megabytes << 20) {
+        for (streams, beanstalkd) in [(false, false), (true, false), (false, true), (true, true)] {
+            let plan = MemoryPlan::new(limit, streams, beanstalkd);
+            assert!(plan.sum() <= limit, "{plan:?}");
+            assert_eq!((plan.streams > 0, plan.beanstalkd_jobs > 0), (streams, beanstalkd));
+            let beanstalkd_connections = if beanstalkd { plan.max_beanstalkd_connections() } else { 0 };
+            let clients = plan.max_client_connections(beanstalkd_connections) * CLIENT_CONNECTION_BYTES
+                + beanstalkd_connections * BEANSTALKD_CONNECTION_BYTES;
+            assert!(clients <= plan.client_connections && clients > 0, "{plan:?}");
+        }
+    }
+}
+
+/// With the limits that the platform gives on most days, descriptors limit the connections and not memory.
+#[test]
+fn memory_does_not_limit_connections_where_there_is_enough() {
+    let plan = MemoryPlan::new(48 << 20, true, true);
+    assert!(plan.max_client_connections(64) >= 600, "{plan:?}");
+    assert!(plan.max_worker_connections() >= 360, "{plan:?}");
+}
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -3,6 +3,7 @@
 mod checked;
 mod faults;
 mod fleet;
+mod memory;
 mod operator;
 
 pub use checked::{
@@ -10,6 +11,7 @@
     LoadGossipPeers, Peers, ProxyRoute, Route, StateDir, TestClock, Tube,
 };
 pub use faults::{read_json, Faults};
+pub use memory::MemoryPlan;
 pub use operator::{
     Matching, Operator, Protocol, RawAdmin, RawBeanstalkdListener, RawPeers, RawRoute, RawWorkers,
 };
@@ -294,8 +296,15 @@
         let budget = raw.budget_ms.map(Duration::from_millis);
         routes.push(Route { path, prefix, class, budget, proxy });
     }
+    let memory = MemoryPlan::new(
+        memory_bytes,
+        routes.iter().any(|route| route.proxy.is_some()),
+        operator.beanstalkd.is_some(),
+    );
     let beanstalkd =
-        operator.beanstalkd.map(|raw| check_beanstalkd_listener(raw, &platform, memory_bytes, faults));
+        operator.beanstalkd.map(|raw| check_beanstalkd_listener(raw, &platform, &memory, faults));
+    let beanstalkd_connections = beanstalkd.as_ref().map_or(0, |listener| listener.max_connections);
+    let max_worker_connections = (free / 8 * 3).min(memory.max_worker_connections());
     Some(Config {
         name,
         listen: listen?,
@@ -303,10 +312,10 @@
         admin_console: admin_console?,
         discovery,
         seed: seed?,
-        memory_bytes,
-        max_client_connections: free / 8 * 5,
-        max_worker_calls: free / 4,
-        max_worker_connections: free / 8 * 3,
+        memory,
+        max_client_connections: (free / 8 * 5).min(memory.max_client_connections(beanstalkd_connections)),
+        max_worker_calls: (free / 4).min(max_worker_connections),
+        max_worker_connections,
         known_workers,
         platform,
         routes,
@@ -542,7 +551,7 @@
 fn check_beanstalkd_listener(
     raw: RawBeanstalkdListener,
     platform: &PlatformSettings,
-    memory_bytes: usize,
+    memory: &MemoryPlan,
     faults: &mut Faults,
 ) -> BeanstalkdListenerConfig {
     let mut tubes: Vec<Tube> = Vec::new();
@@ -573,12 +582,21 @@
             format!("{:?} is used both for jobs and for answers", t.answers),
         );
     }
+    let most = memory.max_beanstalkd_connections();
+    if raw.max_connections > most {
+        let message = format!(
+            "{} connections are more than the {most} that limits.memory_mb of {} has memory for",
+            raw.max_connections,
+            memory.limit >> 20
+        );
+        faults.add("operator's file: beanstalkd.max_connections", message);
+    }
     BeanstalkdListenerConfig {
         listen: raw.listen,
         path: raw.path,
         max_connections: raw.max_connections,
         max_jobs: raw.max_jobs,
-        max_bytes: memory_bytes / 4,
+        max_bytes: memory.beanstalkd_jobs,
         tubes,
     }
 }
--- a/dispatcher/src/listeners/beanstalkd/mod.rs
+++ b/dispatcher/src/listeners/beanstalkd/mod.rs
@@ -7,13 +7,14 @@
 
 use crate::accept::AcceptRetry;
 use crate::arrival::ArrivalClock;
-use crate::beanstalkd::{encode_answer, read_body, read_line, skip, Line, MAX_JOB_BYTES};
+use crate::beanstalkd::{body_lease, encode_answer, read_body, read_line, skip, Line, MAX_JOB_BYTES};
 use crate::body::Body;
 use crate::config::BeanstalkdListenerConfig;
 use crate::facade::FlowId;
 use crate::flow::{Answer, FlowTiming, Flows, Job, Listener};
 use crate::listeners::connection_slots::{ConnectionSlot, ConnectionSlots, Stage};
-use bytes::Bytes;
+use crate::memory::{MemoryBudget, Purpose, WAIT_TIMEOUT};
+use bytes::{Buf, Bytes};
 use command::Command;
 use lineroute_permit::{ProcessState, StartFacts};
 use std::cell::{Cell, RefCell};
@@ -42,6 +43,7 @@
     changed: Notify,
     stopping: Cell<bool>,
     slots: Rc<ConnectionSlots>,
+    memory: Rc<MemoryBudget>,
     /// Prefix of flow references; unique among dispatchers and among earlier runs of this one.
     prefix: String,
 }
@@ -66,13 +68,16 @@
         settings: BeanstalkdListenerConfig,
         prefix: String,
         arrivals: Rc<ArrivalClock>,
+        memory: Rc<MemoryBudget>,
     ) -> Rc<Self> {
         let tubes = Tubes::new(settings.max_jobs, settings.max_bytes);
         let slots = ConnectionSlots::new(settings.max_connections, arrivals);
+        memory.add_reclaimer(&slots);
         Rc::new(BeanstalkdListener {
             flows,
             settings,
             slots,
+            memory,
             tubes: RefCell::new(tubes),
             changed: Notify::new(),
             stopping: Cell::new(false),
@@ -216,6 +221,15 @@
     }
 }
 
+/// The body of a `put`.
+enum JobBody {
+    Complete(Bytes),
+    /// It is not followed by CRLF.
+    Unterminated,
+    /// There was no memory for it; it has been discarded.
+    NoMemory,
+}
+
 struct Connection {
     listener: Rc<BeanstalkdListener>,
     client: Client,
@@ -265,9 +279,10 @@
                         skip(&mut self.input, bytes + 2).await?;
                         "JOB_TOO_BIG".into()
                     } else {
-                        match read_body(&mut self.input, bytes as usize).await? {
-                            Some(body) => self.listener.put(&self.used, pri, delay, ttr, body),
-                            None => "EXPECTED_CRLF".into(),
+                        match self.read_job(bytes as usize).await? {
+                            JobBody::Complete(body) => self.listener.put(&self.used, pri, delay, ttr, body),
+                            JobBody::Unterminated => "EXPECTED_CRLF".into(),
+                            JobBody::NoMemory => "OUT_OF_MEMORY".into(),
                         }
                     }
                 }
@@ -298,15 +313,29 @@
         Ok(())
     }
 
+    /// Reads the body of a `put` once there is memory for it, and discards it if there is none.
+    async fn read_job(&mut self, size: usize) -> io::Result<JobBody> {
+        let bytes = body_lease(size);
+        let leased = self.listener.memory.lease(bytes, Purpose::of_request(bytes));
+        let Ok(lease) = tokio::time::timeout(WAIT_TIMEOUT, leased).await else {
+            skip(&mut self.input, bytes as u64).await?;
+            return Ok(JobBody::NoMemory);
+        };
+        self.slot.set_leased(bytes);
+        let body = read_body(&mut self.input, size, lease).await?;
+        self.slot.set_leased(0);
+        Ok(body.map_or(JobBody::Unterminated, JobBody::Complete))
+    }
+
     async fn write_line(&mut self, line: &str) -> io::Result<()> {
         self.output.write_all(format!("{line}\r\n").as_bytes()).await
     }
 
     async fn write_job(&mut self, word: &str, id: u64, body: &Bytes) -> io::Result<()> {
-        let mut reply = format!("{word} {id} {}\r\n", body.len()).into_bytes();
-        reply.extend_from_slice(body);
-        reply.extend_from_slice(b"\r\n");
-        self.output.write_all(&reply).await
+        // The body is not copied: a client that does not read must not make the process hold it twice.
+        let head = Bytes::from(format!("{word} {id} {}\r\n", body.len()));
+        let mut reply = head.chain(body.clone()).chain(&b"\r\n"[..]);
+        self.output.write_all_buf(&mut reply).await
     }
 
     /// Waits for a job; `None` if the client has disconnected.
--- a/dispatcher/src/listeners/connection_slots.rs
+++ b/dispatcher/src/listeners/connection_slots.rs
@@ -3,6 +3,7 @@
 //! slots are occupied, the least useful connection is closed in favour of the new one.
 
 use crate::arrival::ArrivalClock;
+use crate::memory::Reclaim;
 use lineroute_permit::{CloseFacts, CloseReason, ConnectionState};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,6 +11,7 @@
 use std::task::Waker;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
+use tracing::info;
 
 /// How long a new connection may send nothing. Does not apply to connections that are idle between requests.
 pub const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(2000);
@@ -28,6 +30,8 @@
     /// The head of a request is being received; or its body, whose time limit is enforced where it is read.
     Head,
     Body,
+    /// The body of a request is not read until there is memory for it.
+    AwaitingMemory,
     /// A request body is being streamed; the code that forwards it enforces a minimum rate.
     Streaming,
     /// A request was received and its response is pending.
@@ -48,6 +52,10 @@
     HeadTooLarge,
     /// The framing of a request is ambiguous.
     Malformed,
+    /// Memory that it holds is needed, or there is none for what it sends.
+    MemoryNeeded,
+    /// The client does not take its response, and its memory or its slot is needed. The response is truncated.
+    ResponseStalled,
 }
 
 /// The slot of one connection: its stage, and whether it is to be aborted.
@@ -60,6 +68,13 @@
     answered: Cell<bool>,
     /// The peer has closed the connection, or it failed.
     peer_closed: Cell<bool>,
+    /// Bytes leased for an incomplete request, and since when.
+    leased: Cell<usize>,
+    leased_since: Cell<Instant>,
+    /// Bytes leased for the buffers of the connection, beyond what every connection may hold.
+    leased_for_buffers: Cell<usize>,
+    /// Bytes of the response in progress that were not handed over to the socket yet; `None` if there is none.
+    response_left: Cell<Option<usize>>,
     abort: Cell<Option<AbortCause>>,
     aborted: Notify,
     /// The task that continues reading once the current request is answered.
@@ -80,15 +95,76 @@
     pub fn set_stage(&self, stage: Stage) {
         let was = self.stage.replace(stage);
         // The time limit of a request runs from its first byte, that of the first one from the start of the connection.
-        if !matches!((was, stage), (Stage::Silent, Stage::Head) | (Stage::Head, Stage::Body)) {
+        let continues_request = matches!(
+            (was, stage),
+            (Stage::Silent, Stage::Head)
+                | (Stage::Head, Stage::Body)
+                | (Stage::Body, Stage::AwaitingMemory)
+                | (Stage::AwaitingMemory, Stage::Body)
+        );
+        if !continues_request {
             self.stage_since.set(Instant::now());
         }
         self.answered.set(self.answered.get() || stage == Stage::Idle);
-        if let Some(reader) = self.reader.take().filter(|_| stage != Stage::Processing) {
-            reader.wake();
+        if !self.leaves_data_unread() {
+            self.reader.take().map(Waker::wake).unwrap_or_default();
         }
     }
 
+    /// Whether data that arrives now stays in the kernel.
+    pub fn leaves_data_unread(&self) -> bool {
+        matches!(self.stage.get(), Stage::Processing | Stage::AwaitingMemory)
+    }
+
+    /// Records the bytes that are leased for the request that is being received.
+    pub fn set_leased(&self, bytes: usize) {
+        if bytes > self.leased.replace(bytes) {
+            self.leased_since.set(Instant::now());
+        }
+    }
+
+    /// Records the bytes that are leased for buffers of the connection.
+    pub fn set_leased_for_buffers(&self, bytes: usize) {
+        self.leased_for_buffers.set(bytes);
+        self.leased_since.set(Instant::now());
+    }
+
+    /// Records that the client has taken a part of its response, of which `left` bytes are left.
+    pub fn response_progressed(&self, left: usize) {
+        self.response_left.set(Some(left));
+        self.leased_since.set(Instant::now());
+    }
+
+    /// Records that no response is in progress any more.
+    pub fn response_ended(&self) {
+        self.response_left.set(None);
+    }
+
+    /// The cause with which the connection is closed in favour of others; `idle_cause` unless a response is in progress.
+    fn cause_to_give_way(&self, idle_cause: AbortCause) -> AbortCause {
+        match self.response_left.get() {
+            Some(_) => AbortCause::ResponseStalled,
+            None => idle_cause,
+        }
+    }
+
+    /// Whether a response is in progress of which the client has taken nothing for long.
+    fn is_response_stalled(&self, now: Instant) -> bool {
+        let old = now.saturating_duration_since(self.leased_since.get()) > TYPICAL_FIRST_BYTE_DELAY;
+        old && self.response_left.get().is_some()
+    }
+
+    /// The memory that closing this connection would free; `None` if it must stay open, or has not held it for long.
+    fn reclaimable(&self, now: Instant) -> Option<usize> {
+        let response = self.response_left.get();
+        let bytes = self.leased.get() + self.leased_for_buffers.get() + response.unwrap_or(0);
+        let old = now.saturating_duration_since(self.leased_since.get()) > TYPICAL_FIRST_BYTE_DELAY;
+        let is_receiving_or_idle =
+            matches!(self.stage.get(), Stage::Head | Stage::Body | Stage::AwaitingMemory | Stage::Idle);
+        let may_close = is_receiving_or_idle || response.is_some();
+        (bytes > 0 && old && may_close && self.abort.get().is_none()).then_some(bytes)
+    }
+
     /// Records that there are unread bytes, which may have been there since this time.
     pub fn mark_unread_since(&self, since: Instant) {
         let since = self.unread_since.get().map_or(since, |before| before.min(since));
@@ -170,8 +246,9 @@
     /// The facts that decide whether the connection may be closed for this reason.
     pub fn close_facts(&self, reason: CloseReason) -> CloseFacts {
         let state = match self.stage.get() {
+            _ if self.response_left.get().is_some() => ConnectionState::Responding,
             Stage::Silent | Stage::Idle | Stage::Closing => ConnectionState::Idle,
-            Stage::Head | Stage::Body => ConnectionState::Receiving,
+            Stage::Head | Stage::Body | Stage::AwaitingMemory => ConnectionState::Receiving,
             Stage::Processing => ConnectionState::AwaitingResponse,
             Stage::Streaming => ConnectionState::Responding,
         };
@@ -182,7 +259,8 @@
     pub fn abort_facts(&self, cause: AbortCause) -> CloseFacts {
         self.close_facts(match cause {
             AbortCause::Discard if self.has_peer_closed() => CloseReason::ClientClosed,
-            AbortCause::Discard => CloseReason::SlotNeeded,
+            AbortCause::ResponseStalled => CloseReason::ClientStalled,
+            AbortCause::Discard | AbortCause::MemoryNeeded => CloseReason::SlotNeeded,
             AbortCause::Timeout | AbortCause::HeadTooLarge | AbortCause::Malformed => CloseReason::BadRequest,
         })
     }
@@ -225,11 +303,14 @@
             _ if self.abort.get() == Some(AbortCause::Discard) => return None,
             Stage::Closing => 0,
             _ if self.abort.get().is_some() => return None,
+            _ if self.is_response_stalled(now) => 1,
             Stage::Silent if old => 1,
-            Stage::Head | Stage::Body if old => 2,
+            Stage::Head | Stage::Body | Stage::AwaitingMemory if old => 2,
             Stage::Idle => 3,
             Stage::Silent => 4,
-            Stage::Head | Stage::Body | Stage::Streaming | Stage::Processing => return None,
+            Stage::Head | Stage::Body | Stage::AwaitingMemory | Stage::Streaming | Stage::Processing => {
+                return None
+            }
         };
         Some((rank + if self.worker.get() { 8 } else { 0 }, since))
     }
@@ -277,6 +358,10 @@
             worker: Cell::new(false),
             answered: Cell::new(false),
             peer_closed: Cell::new(false),
+            leased: Cell::new(0),
+            leased_since: Cell::new(now),
+            leased_for_buffers: Cell::new(0),
+            response_left: Cell::new(None),
             abort: Cell::new(None),
             aborted: Notify::new(),
             reader: Cell::new(None),
@@ -286,9 +371,13 @@
         });
         let mut taken = self.occupied.borrow_mut();
         // Discarded connections that are not closed yet don't count: they close in a moment.
-        if taken.values().filter(|s| s.abort.get() != Some(AbortCause::Discard)).count() >= self.max {
+        let is_closing = |slot: &ConnectionSlot| {
+            matches!(slot.abort.get(), Some(AbortCause::Discard | AbortCause::ResponseStalled))
+        };
+        if taken.values().filter(|slot| !is_closing(slot)).count() >= self.max {
             let first = taken.values().filter_map(|s| Some((s.eviction_rank(now)?, s))).min_by_key(|s| s.0);
-            first?.1.abort(AbortCause::Discard);
+            let (_, slot) = first?;
+            slot.abort(slot.cause_to_give_way(AbortCause::Discard));
         }
         let number = self.next.replace(self.next.get() + 1);
         taken.insert(number, slot.clone());
@@ -318,6 +407,28 @@
     }
 }
 
+impl Reclaim for ConnectionSlots {
+    fn reclaim(&self, bytes: usize) {
+        let (now, mut freed) = (Instant::now(), 0);
+        let occupied = self.occupied.borrow();
+        let mut holders: Vec<_> =
+            occupied.values().filter_map(|slot| Some((slot, slot.reclaimable(now)?))).collect();
+        holders.sort_by_key(|(slot, _)| slot.leased_since.get());
+        let mut closed = 0;
+        for (slot, held) in holders {
+            if freed >= bytes {
+                break;
+            }
+            freed += held;
+            closed += 1;
+            slot.abort(slot.cause_to_give_way(AbortCause::MemoryNeeded));
+        }
+        if closed > 0 {
+            info!(closed, freed, awaited = bytes, "memory: connections closed that held it for longest");
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -338,4 +449,55 @@
         taken[2].slot.set_stage(Stage::Processing);
         assert!(slots.acquire().is_none());
     }
+
+    /// Guards against clients that fill all slots by taking nothing of their responses, and against truncating one that is taken.
+    #[test]
+    fn a_stalled_response_gives_its_slot_to_a_new_connection() {
+        let slots = ConnectionSlots::new(2, Rc::new(ArrivalClock::new(Instant::now())));
+        let taken: Vec<_> = (0..2).filter_map(|_| slots.acquire()).collect();
+        for occupied in &taken {
+            occupied.slot.set_stage(Stage::Processing);
+            occupied.slot.response_progressed(500);
+        }
+        assert!(slots.acquire().is_none());
+        let long_ago = Instant::now().checked_sub(TYPICAL_FIRST_BYTE_DELAY * 2).expect("uptime");
+        taken[1].slot.leased_since.set(long_ago);
+        assert!(slots.acquire().is_some());
+        let aborts = [0, 1].map(|number| taken[number].slot.abort.get());
+        assert_eq!(aborts, [None, Some(AbortCause::ResponseStalled)]);
+    }
+
+    /// Guards against closing the wrong connections for their memory: those that have held it for longest go first, as many as are
+    /// needed, and none whose request is complete or that has just begun.
+    #[test]
+    fn memory_is_reclaimed_from_whoever_has_held_it_for_longest() {
+        let slots = ConnectionSlots::new(8, Rc::new(ArrivalClock::new(Instant::now())));
+        let taken: Vec<_> = (0..7).filter_map(|_| slots.acquire()).collect();
+        let long_ago = |seconds| Instant::now().checked_sub(Duration::from_secs(seconds)).expect("uptime");
+        let hold = |number: usize, stage, seconds| {
+            let slot = &taken[number].slot;
+            slot.set_stage(stage);
+            slot.set_leased(1000);
+            slot.leased_since.set(long_ago(seconds));
+        };
+        hold(0, Stage::Body, 2);
+        hold(1, Stage::Body, 3);
+        hold(2, Stage::Processing, 9);
+        hold(3, Stage::Body, 0);
+        hold(4, Stage::Body, 1);
+        // A client that does not take its response, and one that takes it.
+        for (number, seconds) in [(5, 4), (6, 0)] {
+            taken[number].slot.set_stage(Stage::Processing);
+            taken[number].slot.response_progressed(500);
+            taken[number].slot.leased_since.set(long_ago(seconds));
+        }
+        slots.reclaim(1200);
+        assert_eq!(taken[5].slot.abort.get(), Some(AbortCause::ResponseStalled));
+        let aborted = || taken.iter().map(|t| t.slot.abort.get().is_some()).collect::<Vec<_>>();
+        assert_eq!(aborted(), [false, true, false, false, false, true, false]);
+        let facts = taken[5].slot.abort_facts(AbortCause::ResponseStalled);
+        assert_eq!((facts.state, facts.reason), (ConnectionState::Responding, CloseReason::ClientStalled));
+        slots.reclaim(10_000);
+        assert_eq!(aborted(), [true, true, false, false, true, true, false]);
+    }
 }
--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -3,6 +3,7 @@
 //! sending.
 
 use super::connection_slots::{AbortCause, ConnectionSlot, Stage};
+use crate::memory::{MemoryBudget, MemoryLease, Purpose};
 use lineroute_http1::FramingValidator;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -21,7 +22,11 @@
 /// The largest request head. The HTTP server by itself would buffer up to 128 KiB per connection.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Bytes read before yielding, so that the server can process them before more come and other connections get their turn.
-const MAX_BYTES_PER_READ: usize = 16 << 10;
+const MAX_BYTES_PER_READ: usize = 8 << 10;
+/// Bytes that each connection may buffer in either direction without a lease. The HTTP server allocates buffers of this size.
+const BUFFER_BYTES: usize = 8 << 10;
+/// Bytes leased for a head that exceeds [`BUFFER_BYTES`]: the buffer doubles, and the old one is held while it is copied.
+const LONG_HEAD_LEASE_BYTES: usize = 24 << 10;
 /// How long to wait for the peer to close after this side has shut down its writing half.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between reads while lingering: the data is discarded, and reading it must not use up the CPU core.
@@ -37,6 +42,9 @@
     /// Bytes of the current head so far, and bytes read since the last yield.
     head_bytes: Rc<Cell<usize>>,
     read_so_far: Rc<Cell<usize>>,
+    memory: Rc<MemoryBudget>,
+    /// Lease for a long head, whose buffer the server keeps until the connection ends.
+    head_lease: Rc<Cell<Option<MemoryLease>>>,
     /// Rejects ambiguous framing; present if requests may be proxied.
     framing_validator: Option<Rc<RefCell<FramingValidator>>>,
 }
@@ -53,7 +61,7 @@
 
 impl GuardedStream {
     /// `proxied`: requests on it may be proxied to plain HTTP workers, so their framing is validated.
-    pub fn new(stream: TcpStream, slot: Rc<ConnectionSlot>, proxied: bool) -> Self {
+    pub fn new(stream: TcpStream, slot: Rc<ConnectionSlot>, proxied: bool, memory: Rc<MemoryBudget>) -> Self {
         let framing_validator = proxied.then(Rc::default);
         let (input, output) = stream.into_split();
         GuardedStream {
@@ -62,6 +70,8 @@
             slot,
             head_bytes: Rc::default(),
             read_so_far: Rc::default(),
+            memory,
+            head_lease: Rc::default(),
             framing_validator,
         }
     }
@@ -70,6 +80,18 @@
         (*self.output).as_ref()
     }
 
+    /// Leases memory for a long head, unless it is leased already. False if there is none.
+    fn lease_for_long_head(&self) -> bool {
+        let held = self.head_lease.take().or_else(|| {
+            let lease = self.memory.try_lease(LONG_HEAD_LEASE_BYTES, Purpose::Bulk)?;
+            self.slot.set_leased_for_buffers(LONG_HEAD_LEASE_BYTES);
+            Some(lease)
+        });
+        let is_held = held.is_some();
+        self.head_lease.set(held);
+        is_held
+    }
+
     /// Peeks at the socket's receive buffer; returns 1 if there is data, and 0 at the end of the stream.
     fn peek(&self) -> io::Result<usize> {
         SockRef::from(self.stream()).peek(&mut [MaybeUninit::uninit()])
@@ -140,8 +162,8 @@
 impl AsyncRead for GuardedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let slot = &self.slot;
-        if slot.stage() == Stage::Processing {
-            // Data after the request in progress stays in the kernel. Only the peer's close is looked for.
+        if slot.leaves_data_unread() {
+            // Data after the request in progress, or of a request that has no memory yet, stays in the kernel. Only the peer's close is looked for.
             let mut byte = [0];
             let mut byte = ReadBuf::new(&mut byte);
             match self.stream().poll_peek(cx, &mut byte) {
@@ -168,6 +190,11 @@
             slot.abort(AbortCause::HeadTooLarge);
             return Poll::Pending;
         }
+        let is_long_head = slot.stage() == Stage::Head && self.head_bytes.get() >= BUFFER_BYTES;
+        if is_long_head && !self.lease_for_long_head() {
+            slot.abort(AbortCause::MemoryNeeded);
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let read = Pin::new(&mut *self.input.borrow_mut()).poll_read(cx, buf);
         if read.is_pending() {
@@ -245,8 +272,12 @@
             let slot = slots.acquire().expect("a slot").slot.clone();
             let queued_since = Instant::now() - Duration::from_secs(2);
             slot.mark_unread_since(queued_since);
-            let mut guarded =
-                GuardedStream::new(TcpStream::from_std(accepted).expect("up"), slot.clone(), false);
+            let mut guarded = GuardedStream::new(
+                TcpStream::from_std(accepted).expect("up"),
+                slot.clone(),
+                false,
+                MemoryBudget::new(1 << 20),
+            );
             let mut bytes = [0; 8];
             let first = Pin::new(&mut guarded)
                 .poll_read(&mut Context::from_waker(Waker::noop()), &mut ReadBuf::new(&mut bytes));
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -1,8 +1,10 @@
 //! The HTTP listener: jobs submitted by `POST`, each answered on the connection it came on; job status updates
 //! from workers; and the readiness check `/up`. It only parses requests and headers; all decisions are made in the core.
 
-use super::connection_slots::{AbortCause, ConnectionSlot, ConnectionSlots, Stage, REQUEST_TIMEOUT};
+use super::connection_slots::{AbortCause, ConnectionSlot, ConnectionSlots, Stage};
 use super::guard::{write_without_waiting, GuardedStream};
+use super::request_body::{read_body, reject, Sender};
+use super::response_body::in_pieces;
 use super::socket::queued;
 use crate::accept::AcceptRetry;
 use crate::body::{Body, StreamBudget};
@@ -10,6 +12,7 @@
 use crate::facade::FlowId;
 use crate::flow::{Answer, FlowTiming, Flows, Job, Listener, OpenError};
 use crate::list::monitor::ListMonitor;
+use crate::memory::MemoryBudget;
 use crate::siblings::{Delivery, Siblings};
 use crate::stops;
 use crate::targets::http::{HttpTargets, JobUpdate};
@@ -19,32 +22,31 @@
     ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
 };
 use actix_service::{IntoServiceFactory, Service, ServiceFactory};
-use bytes::{Bytes, BytesMut};
-use futures_util::{FutureExt, StreamExt};
+use bytes::Bytes;
+use futures_util::FutureExt;
 use lineroute_permit::{CloseReason, ProcessState, RepeatSafety, StartFacts, StartPermit, StartRefusal};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tracing::info;
 
-/// The largest request body that is accepted.
-pub const MAX_BODY: usize = 64 << 10;
 /// How long an idle client connection is kept open.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(120);
 /// `Retry-After` for a client that this dispatcher has no capacity for. Short, because other dispatchers may have capacity now.
 pub(super) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(250);
 const MAX_ID_LENGTH: usize = 128;
-/// How long to read the body of a request that is rejected by its head: the body is usually in transit already.
-const REJECTED_BODY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Bytes of a streamed response that the server buffers for each connection before it waits for the socket.
+const WRITE_BUFFER_BYTES: usize = 8 << 10;
 /// Upper bound for the client's estimate of a job's run time: one day.
 const MAX_WORK_US: f64 = 86_400e6;
 /// Responses written to the socket directly, for connections that the HTTP server can't answer itself.
-const NO_SLOT_RESPONSE: &[u8] =
+const NO_CAPACITY_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\n\
     Content-Length: 0\r\n\r\n";
 const TIMEOUT_RESPONSE: &[u8] =
@@ -195,6 +197,8 @@
     pub slots: Rc<ConnectionSlots>,
     /// Memory shared by all bodies that are being streamed.
     pub budgets: StreamBudget,
+    /// Memory for everything else that connections hold.
+    pub memory: Rc<MemoryBudget>,
     /// The other processes of this dispatcher; `None` if there can't be any.
     pub siblings: Option<Rc<Siblings>>,
     /// Prefix of the ids and keys generated for jobs that came without one, and how many were generated.
@@ -242,6 +246,7 @@
             .client_disconnect_timeout(Duration::ZERO)
             // Unreadable data after a request must not abort that request; the guarded stream detects disconnects.
             .h1_allow_half_closed(true)
+            .h1_write_buffer_size(WRITE_BUFFER_BYTES)
             .on_connect_ext(|io: &GuardedStream, data| drop(data.insert(io.slot.clone())))
             .h1(actix_service::fn_service(service).into_factory());
         let Ok(service) = factory.new_service(()).await else { return };
@@ -317,14 +322,14 @@
         let _ = stream.set_nodelay(true);
         let Some(taken) = self.slots.acquire() else {
             // Every slot is processing a request. Nothing was read from this connection, so the client can safely retry.
-            write_without_waiting(&stream, NO_SLOT_RESPONSE);
+            write_without_waiting(&stream, NO_CAPACITY_RESPONSE);
             return;
         };
         taken.slot.mark_unread_since(since);
         let proxied = self.routes.iter().any(|r| r.proxy.is_some());
-        let (lifecycle, flows) = (self.lifecycle.clone(), self.flows.clone());
+        let (lifecycle, flows, memory) = (self.lifecycle.clone(), self.flows.clone(), self.memory.clone());
         actix_rt::spawn(async move {
-            let guarded = GuardedStream::new(stream, taken.slot.clone(), proxied);
+            let guarded = GuardedStream::new(stream, taken.slot.clone(), proxied, memory);
             let mut served = pin!(service.call((guarded.clone(), Some(peer))));
             let cause = loop {
                 // Order matters: a request that is read just as its client disconnects must not be accepted. Futures dropped
@@ -352,7 +357,10 @@
             };
             let ended = async {
                 match cause {
-                    Some(AbortCause::Discard) => return,
+                    Some(AbortCause::Discard | AbortCause::ResponseStalled) => return,
+                    Some(AbortCause::MemoryNeeded) if !taken.slot.has_been_answered() => {
+                        guarded.write_final(NO_CAPACITY_RESPONSE)
+                    }
                     Some(AbortCause::Malformed) if !taken.slot.has_been_answered() => {
                         guarded.write_final(BAD_REQUEST_RESPONSE)
                     }
@@ -394,10 +402,10 @@
                 return self.pass(request, route, proxy, slot).await;
             }
         }
-        self.respond_buffered(request, slot.as_deref()).await.map_into_boxed_body()
+        in_pieces(self.respond_buffered(request, slot.as_deref()).await, slot.as_ref())
     }
 
-    async fn respond_buffered(&self, mut request: Request, slot: Option<&ConnectionSlot>) -> Response<Bytes> {
+    async fn respond_buffered(&self, request: Request, slot: Option<&ConnectionSlot>) -> Response<Bytes> {
         let (get, post) = (request.method() == Method::GET, request.method() == Method::POST);
         let path = request.path().to_owned();
         match path.as_str() {
@@ -406,13 +414,7 @@
                 text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
             }
             "/up" if get => text_response(StatusCode::SERVICE_UNAVAILABLE, "waiting for the worker list\n"),
-            "/_jobs/news" if post => match read_body(&mut request, slot).await {
-                Err(status) => text_response(status, "no body could be read\n"),
-                Ok(body) => match serde_json::from_slice::<JobUpdate>(&body) {
-                    Err(_) => text_response(StatusCode::BAD_REQUEST, "not a worker's call\n"),
-                    Ok(update) => self.job_update(update, slot).await,
-                },
-            },
+            "/_jobs/news" if post => self.worker_call(request, slot).await,
             "/up" | "/_jobs/news" => {
                 reject(request, slot, StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n").await
             }
@@ -426,6 +428,19 @@
         }
     }
 
+    /// Reads a worker's call. What is leased for it is kept for the result in it.
+    async fn worker_call(&self, mut request: Request, slot: Option<&ConnectionSlot>) -> Response<Bytes> {
+        let body = match read_body(&mut request, slot, &self.memory, Sender::Worker).await {
+            Ok(body) => body,
+            Err(error) => return error.response(),
+        };
+        let Ok(update) = serde_json::from_slice::<JobUpdate>(body.as_ref()) else {
+            return text_response(StatusCode::BAD_REQUEST, "not a worker's call\n");
+        };
+        let lease = Some(Arc::new(body.into_leases()));
+        self.job_update(JobUpdate { lease, ..update }, slot).await
+    }
+
     /// Handles a worker's job status update, for a job of this process or of a sibling. Answered with 200 only if one of them
     /// has accepted it or none has the job; otherwise with 503, so that the worker sends it again.
     async fn job_update(&self, update: JobUpdate, slot: Option<&ConnectionSlot>) -> Response<Bytes> {
@@ -464,9 +479,9 @@
             Err(reason) => return reject(request, slot, StatusCode::BAD_REQUEST, reason).await,
         };
         let arrived = slot.map_or_else(Instant::now, ConnectionSlot::arrived);
-        job.body = match read_body(&mut request, slot).await {
-            Ok(body) => Body::Buffered(body),
-            Err(status) => return text_response(status, "no body could be read\n"),
+        job.body = match read_body(&mut request, slot, &self.memory, Sender::Client).await {
+            Ok(body) => Body::Buffered(body.freeze()),
+            Err(error) => return error.response(),
         };
         let Ok(permit) = self.start_permit(&job.reference, slot) else {
             return unavailable(BUSY_RETRY_AFTER);
@@ -597,69 +612,6 @@
     value.to_str().map(Some).map_err(|_| "a header is not plain text\n")
 }
 
-/// Rejects a request by its head alone. Its body is read first, within bounds: the server closes a connection whose body was
-/// not read, and requests that the client had sent after it would be lost unanswered.
-async fn reject(
-    mut request: Request,
-    slot: Option<&ConnectionSlot>,
-    status: StatusCode,
-    message: &'static str,
-) -> Response<Bytes> {
-    if !declares_too_long(&request) {
-        slot.into_iter().for_each(|s| s.set_stage(Stage::Body));
-        let mut payload = request.take_payload();
-        let read = async {
-            let mut count = 0;
-            while let Some(Ok(chunk)) = payload.next().await {
-                count += chunk.len();
-                if count > MAX_BODY {
-                    return;
-                }
-            }
-        };
-        // If the body is late or broken, the connection is closed after the response.
-        let _ = tokio::time::timeout(REJECTED_BODY_TIMEOUT, read).await;
-        slot.into_iter().for_each(|s| s.set_stage(Stage::Processing));
-    }
-    text_response(status, message)
-}
-
-/// Whether `Content-Length` exceeds the limit.
-fn declares_too_long(request: &Request) -> bool {
-    let length =
-        request.headers().get(header::CONTENT_LENGTH).and_then(|l| l.to_str().ok()?.trim().parse().ok());
-    length.is_some_and(|l: u64| l > MAX_BODY as u64)
-}
-
-/// Reads the whole body and marks the request as being processed. A body that is declared too long is not read at all.
-pub(super) async fn read_body(
-    request: &mut Request,
-    slot: Option<&ConnectionSlot>,
-) -> Result<Bytes, StatusCode> {
-    if declares_too_long(request) {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    slot.into_iter().for_each(|s| s.set_stage(Stage::Body));
-    let mut payload = request.take_payload();
-    let read = async {
-        let mut body = BytesMut::new();
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|_| StatusCode::BAD_REQUEST)?;
-            if body.len() + chunk.len() > MAX_BODY {
-                return Err(StatusCode::PAYLOAD_TOO_LARGE);
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(body.freeze())
-    };
-    let by =
-        slot.map_or_else(|| std::time::Instant::now() + REQUEST_TIMEOUT, ConnectionSlot::receive_deadline);
-    let read = tokio::time::timeout_at(by.into(), read).await;
-    let body = read.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))?;
-    slot.into_iter().for_each(|s| s.set_stage(Stage::Processing));
-    Ok(body)
-}
-
 fn respond(status: StatusCode, body: Bytes, retry_after: Option<Duration>) -> Response<Bytes> {
     let mut response = Response::with_body(status, body);
     if let Some(after) = retry_after {
--- a/dispatcher/src/listeners/mod.rs
+++ b/dispatcher/src/listeners/mod.rs
@@ -5,4 +5,6 @@
 mod guard;
 pub mod http;
 mod pass;
+mod request_body;
+mod response_body;
 pub mod socket;
--- a/dispatcher/src/listeners/pass.rs
+++ b/dispatcher/src/listeners/pass.rs
@@ -2,6 +2,8 @@
 
 use super::connection_slots::{ConnectionSlot, Stage};
 use super::http::{text_response, unavailable, HttpListener, StreamedBody, BUSY_RETRY_AFTER};
+use super::request_body::{read_body, Sender};
+use super::response_body::in_pieces;
 use crate::body::{Body, Reader, StreamEnd, Upload, Writer};
 use crate::config::{ProxyRoute, Route};
 use crate::flow::{Answer, OpenError};
@@ -100,12 +102,12 @@
                 BodyPump { writer, slot: slot.clone(), left: proxy.max_body, too_large: too_large.clone() };
             actix_rt::spawn(pump.run(request.take_payload()));
         } else {
-            match super::http::read_body(&mut request, slot.as_deref()).await {
+            match read_body(&mut request, slot.as_deref(), &self.memory, Sender::Client).await {
                 Ok(body) if body.len() as u64 > proxy.max_body => {
                     return text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
                 }
-                Ok(body) => job.body = Body::Buffered(body),
-                Err(status) => return text(status, "no body could be read\n"),
+                Ok(body) => job.body = Body::Buffered(body.freeze()),
+                Err(error) => return error.response().map_into_boxed_body(),
             }
         }
         // While the body was read the process may have begun to stop, or the client may have left.
@@ -128,7 +130,7 @@
                 Err(_) => text(StatusCode::BAD_GATEWAY, "the answer can't be passed on\n"),
             },
             Ok(Some(Answer::Served(result))) => {
-                Response::with_body(StatusCode::OK, result).map_into_boxed_body()
+                in_pieces(Response::with_body(StatusCode::OK, result), slot.as_ref())
             }
             Ok(Some(Answer::Refused(after))) => unavailable(after).map_into_boxed_body(),
             Ok(Some(Answer::Failed) | None) if too_large.get() => {
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -15,9 +15,11 @@
 mod listeners;
 mod local_faults;
 mod log;
+mod memory;
 mod nginx;
 mod overrides;
 mod peers;
+mod pieces;
 mod siblings;
 mod stop;
 mod stops;
@@ -40,6 +42,7 @@
 use listeners::connection_slots::ConnectionSlots;
 use listeners::http::{HttpListener, ListenerLifecycle, WorkloadNames};
 use listeners::socket::SocketSource;
+use memory::MemoryBudget;
 use overrides::Overrides;
 use peers::discovery_reports::DiscoveryReports;
 use rustc_hash::FxHashMap;
@@ -62,10 +65,7 @@
 use tokio::sync::watch;
 use tracing::{info, info_span, warn};
 
-/// Divisor of the memory limit that yields the memory for buffered bodies.
-const BODY_MEMORY_DIVISOR: usize = 4;
-/// Divisor of the memory limit that yields the memory for streamed bodies, and the least and most bytes that one stream may hold.
-const STREAM_MEMORY_DIVISOR: usize = 4;
+/// The least and most bytes that one stream may hold.
 const STREAM_MIN_BYTES: usize = 16 << 10;
 const STREAM_MAX_BYTES: usize = 256 << 10;
 
@@ -143,6 +143,7 @@
     flows: &Flows,
     targets: &HttpTargets,
     budgets: &StreamBudget,
+    memory: &Rc<MemoryBudget>,
     reports: &Rc<DiscoveryReports>,
     lifecycle: &Rc<ListenerLifecycle>,
 ) -> Result<Started, String> {
@@ -190,6 +191,7 @@
         flows,
         targets: targets.clone(),
         budgets,
+        memory: memory.clone(),
         overrides,
         peers: peer,
         store,
@@ -230,7 +232,7 @@
     let drain_grace = Duration::from_micros(site.drain_grace);
     let bounds = Bounds {
         flows: site.settings.allowed.most_held,
-        bytes: config.memory_bytes / BODY_MEMORY_DIVISOR,
+        bytes: config.memory.requests,
         drain_grace: (!site.settings.rules.dropped_stay_open).then_some(drain_grace),
     };
     let connect_timeout = Duration::from_micros(site.connect_timeout);
@@ -252,15 +254,16 @@
     flows.update_list_validity();
     let discovery_reports = Rc::new(DiscoveryReports::new(monitor.clone()));
     actix_rt::spawn(monitor.clone().run(flows.clone()));
-    let budgets =
-        StreamBudget::new(config.memory_bytes / STREAM_MEMORY_DIVISOR, STREAM_MIN_BYTES, STREAM_MAX_BYTES);
+    let budgets = StreamBudget::new(config.memory.streams, STREAM_MIN_BYTES, STREAM_MAX_BYTES);
+    let memory = MemoryBudget::new(config.memory.requests);
     let client =
         HttpClient::new(connect_timeout, keepalive, config.max_worker_calls, config.max_worker_connections);
     let targets = HttpTargets::new(flows.clone(), client.clone(), connect_timeout, reports);
     flows.add_target(Rc::new(targets.clone()));
     let mut transports = FxHashMap::default();
     for workers in &config.beanstalkd_workers {
-        let transport = BeanstalkdTargets::new(flows.clone(), workers, &config.name, connect_timeout);
+        let transport =
+            BeanstalkdTargets::new(flows.clone(), workers, &config.name, connect_timeout, memory.clone());
         transports.insert(workers.kind.clone(), flows.add_target(Rc::new(transport)));
     }
     for workers in &config.http_workers {
@@ -280,7 +283,8 @@
     let shared = config.inherited_fd.is_some();
     let lifecycle = Rc::new(ListenerLifecycle::new(monitor.clone(), shared));
     let Started { reload_handles: handles, calls } =
-        start_control(&mut config, &flows, &targets, &budgets, &discovery_reports, &lifecycle).await?;
+        start_control(&mut config, &flows, &targets, &budgets, &memory, &discovery_reports, &lifecycle)
+            .await?;
     let fleet = handles.fleet.clone();
     let _ = reload_handles.set(handles);
     let Config { routes, known_workers, .. } = config;
@@ -289,6 +293,7 @@
         None => SocketSource::Bind(config.listen),
     };
     let slots = ConnectionSlots::new(config.max_client_connections, arrivals.clone());
+    memory.add_reclaimer(&slots);
     stops::at("start.listen");
     let socket = listeners::socket::open(origin).await?;
     let siblings = calls.as_ref().and_then(|calls| calls.siblings.clone());
@@ -304,7 +309,10 @@
     let beanstalkd = match config.beanstalkd {
         Some(settings) => {
             let socket = bind_beanstalkd(settings.listen).await?;
-            Some((socket, BeanstalkdListener::new(flows.clone(), settings, prefix.clone(), arrivals)))
+            Some((
+                socket,
+                BeanstalkdListener::new(flows.clone(), settings, prefix.clone(), arrivals, memory.clone()),
+            ))
         }
         None => None,
     };
@@ -345,6 +353,7 @@
         lifecycle: lifecycle.clone(),
         slots: slots.clone(),
         budgets,
+        memory,
         siblings: siblings.clone(),
         id_prefix: prefix,
         generated_ids: Cell::new(0),
--- a/dispatcher/src/siblings/mod.rs
+++ b/dispatcher/src/siblings/mod.rs
@@ -12,6 +12,7 @@
 pub mod reference_locks;
 mod registry;
 
+use crate::memory::{MemoryBudget, Purpose};
 use crate::overrides::Overrides;
 use crate::targets::http::{HttpTargets, JobUpdate};
 use client::{call, CallError};
@@ -24,6 +25,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tracing::{info, warn};
@@ -206,7 +208,14 @@
                 info!(overrides = lines.len(), taken, "siblings: received overrides");
                 Answer::Merged
             }
-            Request::JobUpdate(update) => match process.targets.apply_update(update) {
+            // Without memory for it the caller refuses the update, and the worker sends it again.
+            Request::JobUpdate(update) => match process.targets.apply_update(JobUpdate {
+                lease: Some(Arc::new(vec![process
+                    .memory
+                    .try_lease(line.len(), Purpose::Worker)
+                    .ok_or("no memory")?])),
+                ..update
+            }) {
                 true => Answer::Taken,
                 false => Answer::NotOurs,
             },
@@ -223,6 +232,8 @@
     pub overrides: &'a Overrides,
     /// The HTTP targets, with the attempts in progress.
     pub targets: &'a HttpTargets,
+    /// Memory for results.
+    pub memory: &'a MemoryBudget,
     /// Whether it is ready to serve clients.
     pub is_up: bool,
 }
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -5,12 +5,15 @@
 //! (`-`: none); the body follows. The first line of an answer names the job's id and its status: `started`, `served`,
 //! `failed`, or `refused` if the job was handed back without being started; the result follows.
 
-use crate::beanstalkd::{decode_answer, encode_word, read_body, read_line, Line, ABSENT, MAX_JOB_BYTES};
+use crate::beanstalkd::{
+    body_lease, decode_answer, encode_word, read_body, read_line, Line, ABSENT, MAX_JOB_BYTES,
+};
 use crate::config::BeanstalkdWorkers;
 use crate::facade::{Outcome, TargetId};
 use crate::fleet::FencedOperation;
 use crate::flow::{AttemptMessage, Flows, Forward, ForwardId, Target};
 use crate::local_faults::{is_local, LOCAL_FAULT_RETRY_DELAY};
+use crate::memory::{MemoryBudget, Purpose};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use lineroute_permit::RetryPermit;
@@ -41,6 +44,7 @@
 struct Connection {
     input: BufReader<OwnedReadHalf>,
     output: OwnedWriteHalf,
+    memory: Rc<MemoryBudget>,
 }
 
 async fn with_timeout<T>(time_limit: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
@@ -48,11 +52,15 @@
 }
 
 impl Connection {
-    async fn open(addr: SocketAddr, time_limit: Duration) -> io::Result<Connection> {
+    async fn open(
+        addr: SocketAddr,
+        time_limit: Duration,
+        memory: Rc<MemoryBudget>,
+    ) -> io::Result<Connection> {
         let stream = with_timeout(time_limit, TcpStream::connect(addr)).await?;
         stream.set_nodelay(true)?;
         let (input, output) = stream.into_split();
-        Ok(Connection { input: BufReader::new(input), output })
+        Ok(Connection { input: BufReader::new(input), output, memory })
     }
 
     /// Whether there is no unsolicited input, the end of the connection included.
@@ -86,7 +94,9 @@
     async fn reply_body(&mut self, reply: &str) -> io::Result<Bytes> {
         let size = reply.rsplit(' ').next().and_then(|n| n.parse::<usize>().ok());
         let size = size.filter(|s| *s <= MAX_JOB_BYTES * 2).ok_or(io::ErrorKind::InvalidData)?;
-        let body = with_timeout(COMMAND_TIMEOUT, read_body(&mut self.input, size)).await?;
+        // A result is not lost while it waits for memory: nothing of it is read.
+        let lease = self.memory.lease(body_lease(size), Purpose::Worker).await;
+        let body = with_timeout(COMMAND_TIMEOUT, read_body(&mut self.input, size, lease)).await?;
         body.ok_or_else(|| io::ErrorKind::InvalidData.into())
     }
 
@@ -151,17 +161,25 @@
     work_tube: Rc<str>,
     answers_tube: Rc<str>,
     connect_timeout: Duration,
+    memory: Rc<MemoryBudget>,
     servers: Rc<RefCell<FxHashMap<TargetId, Rc<Server>>>>,
 }
 
 impl BeanstalkdTargets {
     /// `name` is the name of this dispatcher: answers tubes are not shared.
-    pub fn new(flows: Flows, workers: &BeanstalkdWorkers, name: &str, connect_timeout: Duration) -> Self {
+    pub fn new(
+        flows: Flows,
+        workers: &BeanstalkdWorkers,
+        name: &str,
+        connect_timeout: Duration,
+        memory: Rc<MemoryBudget>,
+    ) -> Self {
         BeanstalkdTargets {
             flows,
             work_tube: workers.work_tube.as_str().into(),
             answers_tube: format!("{}.{name}", workers.answers_tube).into(),
             connect_timeout,
+            memory,
             servers: Rc::default(),
         }
     }
@@ -242,7 +260,8 @@
         let open = match connection.take() {
             Some(open) => open,
             None => {
-                let mut open = Connection::open(server.addr, self.connect_timeout).await?;
+                let mut open =
+                    Connection::open(server.addr, self.connect_timeout, self.memory.clone()).await?;
                 open.request_expecting(&format!("use {}\r\n", self.work_tube), &["USING"]).await?;
                 open
             }
@@ -414,7 +433,7 @@
 
     /// Reads answers on one connection until none are expected.
     async fn read_answers_once(&self, server: &Server, backoff: &mut Duration) -> io::Result<()> {
-        let mut connection = Connection::open(server.addr, self.connect_timeout).await?;
+        let mut connection = Connection::open(server.addr, self.connect_timeout, self.memory.clone()).await?;
         connection.request_expecting(&format!("watch {}\r\n", self.answers_tube), &["WATCHING"]).await?;
         connection.request_expecting("ignore default\r\n", &["WATCHING"]).await?;
         // After a reconnect, jobs that the server no longer knows and has no answer to are lost.
--- a/dispatcher/src/targets/client.rs
+++ b/dispatcher/src/targets/client.rs
@@ -8,6 +8,7 @@
 use crate::facade::Load;
 use crate::fleet::FencedOperation;
 use crate::local_faults::is_local;
+use crate::pieces::{Pieces, PIECE_BYTES};
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -352,13 +353,17 @@
         body: Bytes,
         limit: usize,
     ) -> Result<HttpAnswer, CallError> {
-        let has_body = method == Method::POST;
+        let (has_body, keeps_answer) = (method == Method::POST, method == Method::GET);
         let client = self.pools.borrow_mut().client(addr);
         let mut request = client.request(method, format!("http://{addr}{path}")).no_decompress();
         for &(name, value) in headers {
             request = request.insert_header((name, value));
         }
-        let mut response = if has_body { request.send_body(body).await? } else { request.send().await? };
+        let mut response = match has_body {
+            true if body.len() > PIECE_BYTES => request.send_body(Pieces(body)).await?,
+            true => request.send_body(body).await?,
+            false => request.send().await?,
+        };
         let rejected = response.headers().get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
         let load = response.headers().get(LOAD_HEADER).and_then(|v| load::from_line(v.to_str().ok()?));
         if response.status() == StatusCode::ACCEPTED {
@@ -378,14 +383,18 @@
             }
             return Ok(HttpAnswer { status: 202, rejected, load, body: Bytes::new() });
         }
-        let mut body = BytesMut::new();
-        // The body is always read to its end, since the connection is reusable only then.
+        let (mut body, mut length) = (BytesMut::new(), 0);
+        // The body is always read to its end, since the connection is reusable only then. That of a job or a cancellation says
+        // nothing and is not kept.
         while let Some(chunk) = response.next().await {
             let chunk = chunk.map_err(|e| CallError::Broken(e.to_string()))?;
-            if body.len() + chunk.len() > limit {
+            length += chunk.len();
+            if length > limit {
                 return Err(CallError::Broken("answer exceeds the size limit".into()));
             }
-            body.extend_from_slice(&chunk);
+            if keeps_answer {
+                body.extend_from_slice(&chunk);
+            }
         }
         Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.freeze() })
     }
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -9,6 +9,7 @@
 use crate::fleet::FencedOperation;
 use crate::flow::{AttemptMessage, Flows, Forward, ForwardId, Target};
 use crate::local_faults::LOCAL_FAULT_RETRY_DELAY;
+use crate::memory::{with_leases, MemoryLease};
 use crate::siblings::Delivery;
 use awc::http::{header, Method};
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 use tracing::debug;
@@ -44,6 +46,9 @@
     pub result: Option<serde_json::Value>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load: Option<serde_json::Value>,
+    /// Memory that is leased for the result; each process leases its own.
+    #[serde(skip)]
+    pub lease: Option<Arc<Vec<MemoryLease>>>,
 }
 
 struct InFlight {
@@ -155,9 +160,16 @@
             "lost" => Outcome::Cut,
             _ => return true,
         };
-        let result = update.result.map(|r| match r {
-            serde_json::Value::String(text) => Bytes::from(text),
-            other => Bytes::from(other.to_string()),
+        let lease = update.lease;
+        let result = update.result.map(|result| {
+            let text = match result {
+                serde_json::Value::String(text) => text,
+                other => other.to_string(),
+            };
+            match lease {
+                Some(lease) => with_leases(text, lease),
+                None => Bytes::from(text),
+            }
         });
         let load = update.load.as_ref().and_then(|l| load::from_object(l.as_object()?));
         if end != Outcome::Served && self.must_wait_for_cancel(&forward, end, load) {
--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -15,6 +15,9 @@
 const CALLS: usize = 10;
 const BETWEEN_CALLS: Duration = Duration::from_millis(50);
 
+/// Size of a large result, near to the largest that a worker may report.
+pub const LARGE_RESULT_BYTES: usize = 60_000;
+
 /// How a worker handles jobs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum WorkerBehaviour {
@@ -24,6 +27,8 @@
     Hangs,
     /// Accepts the job and reports a result, each update on a new connection.
     Serves,
+    /// The same with a result of [`LARGE_RESULT_BYTES`].
+    ServesLargeResults,
     /// Reads the request and sends nothing, as a plain HTTP worker does that is still computing.
     Silent,
 }
@@ -117,10 +122,14 @@
             WorkerBehaviour::Rejects => request.respond("503 Service Unavailable\r\nX-Rejected: 1"),
             WorkerBehaviour::Silent => unanswered.push(request),
             WorkerBehaviour::Hangs => request.respond("202 Accepted"),
-            WorkerBehaviour::Serves => {
+            WorkerBehaviour::Serves | WorkerBehaviour::ServesLargeResults => {
                 request.respond("202 Accepted");
                 let from = worker.id.clone();
-                thread::spawn(move || report_done(call_back, &reference, &from));
+                let result = match conduct {
+                    WorkerBehaviour::ServesLargeResults => "r".repeat(LARGE_RESULT_BYTES),
+                    _ => "a chart".into(),
+                };
+                thread::spawn(move || report_result(call_back, &reference, &from, &result));
             }
         }
     }
@@ -129,7 +138,11 @@
 /// Reports a job as done, repeating the call until it is answered with 200 or 204. Returns the number of calls; `None` if none
 /// was answered so.
 pub fn report_done(to: SocketAddr, reference: &str, from: &str) -> Option<usize> {
-    let body = format!(r#"{{"id":"{reference}","from":"{from}","state":"done","result":"a chart"}}"#);
+    report_result(to, reference, from, "a chart")
+}
+
+fn report_result(to: SocketAddr, reference: &str, from: &str, result: &str) -> Option<usize> {
+    let body = format!(r#"{{"id":"{reference}","from":"{from}","state":"done","result":"{result}"}}"#);
     for call in 1..=CALLS {
         if let Ok(stream) = TcpStream::connect(to) {
             let mut client = Client::from_stream(stream);
--- a/permit/src/close.rs
+++ b/permit/src/close.rs
@@ -25,6 +25,8 @@
     BadRequest,
     /// Its slot is needed for another connection.
     SlotNeeded,
+    /// The client does not take its response, and the memory or the slot that it occupies is needed.
+    ClientStalled,
     /// The process is stopping.
     Stopping,
     /// The server has finished with it: the last answer announced the close, or the keep-alive time is over.
--- a/permit/tests/permits.rs
+++ b/permit/tests/permits.rs
@@ -96,10 +96,12 @@
             closes(ConnectionState::AwaitingResponse, reason) && closes(ConnectionState::Responding, reason)
         );
     }
-    for reason in [SlotNeeded, Stopping, ServerFinished] {
+    for reason in [SlotNeeded, ClientStalled, Stopping, ServerFinished] {
         assert!(!closes(ConnectionState::AwaitingResponse, reason));
         assert!(closes(ConnectionState::Idle, reason) && closes(ConnectionState::Receiving, reason));
     }
+    // A client that does not take its response gives way to others only once it is being sent.
+    assert!(closes(ConnectionState::Responding, ClientStalled));
     assert!(
         !closes(ConnectionState::Responding, SlotNeeded) && !closes(ConnectionState::Responding, Stopping)
     );
