Tests: addresses that the program binds are on a loopback address of the test's own

The test had the system choose a port at 127.0.0.1, released it, and gave it to the program; another test's socket took it in between. Three files had this or a way of their own around it.

unused_address (was console_address) serves all of them now: a loopback address and a port outside the ephemeral range that only this test process uses.

--- a/dispatcher/tests/admin_console.rs
+++ b/dispatcher/tests/admin_console.rs
@@ -8,13 +8,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
-}
-
 /// The program with two workers and its admin console at a port of its own.
 fn rig() -> (Rig, SocketAddr) {
-    let console = free_port();
+    let console = common::unused_address();
     // A unique name: cordons are passed on to the next process of the same name.
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -82,6 +82,12 @@
         let _ = self.answer.send(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
     }
 
+    /// Responds with a body, as a plain HTTP worker does.
+    pub fn respond_with_body(self, body: &str) {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        let _ = self.answer.send(head + body);
+    }
+
     pub fn reference(&self) -> &str {
         &self.message.headers["x-call-id"]
     }
@@ -247,6 +253,16 @@
     command
 }
 
+/// An unused address, on a loopback address that only this test process uses. An ephemeral port that was chosen
+/// by the system and released could be taken by another test before it is bound.
+pub fn unused_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let [_, _, high, low] = process.to_be_bytes();
+    let port = 15_000 + (number / 200) as u16;
+    ([127, 64 + high % 128, low, 1 + (number % 200) as u8], port).into()
+}
+
 /// Connections to the simulated discovery, kept so that a test can close them.
 type DiscoveryStreams = Arc<Mutex<Vec<TcpStream>>>;
 
--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -2,7 +2,7 @@
 //! `$TMPDIR`, each with its own admin console, and workers with selectable behaviour.
 
 use super::discovery::{entry, Behaviour, Discovery};
-use super::{create_temp_dir, wait_until, Client, Rig, Setup, Worker, SETTINGS};
+use super::{create_temp_dir, unused_address, wait_until, Client, Rig, Setup, Worker, SETTINGS};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -29,6 +29,8 @@
     Serves,
     /// The same with a result of [`LARGE_RESULT_BYTES`].
     ServesLargeResults,
+    /// Responds with a result of [`LARGE_RESULT_BYTES`], as a plain HTTP worker does.
+    RespondsWithLargeResults,
     /// Reads the request and sends nothing, as a plain HTTP worker does that is still computing.
     Silent,
 }
@@ -122,6 +124,9 @@
             WorkerBehaviour::Rejects => request.respond("503 Service Unavailable\r\nX-Rejected: 1"),
             WorkerBehaviour::Silent => unanswered.push(request),
             WorkerBehaviour::Hangs => request.respond("202 Accepted"),
+            WorkerBehaviour::RespondsWithLargeResults => {
+                request.respond_with_body(&"r".repeat(LARGE_RESULT_BYTES));
+            }
             WorkerBehaviour::Serves | WorkerBehaviour::ServesLargeResults => {
                 request.respond("202 Accepted");
                 let from = worker.id.clone();
@@ -213,7 +218,7 @@
         stops: &str,
         environment: Vec<(String, String)>,
     ) -> std::process::Child {
-        let setup = self.set_up(console_address(), Setup { stops, environment, ..Setup::default() });
+        let setup = self.set_up(unused_address(), Setup { stops, environment, ..Setup::default() });
         super::command(&create_temp_dir(), &self.workers.listed, &self.settings, setup)
             .stderr(std::process::Stdio::null())
             .spawn()
@@ -235,7 +240,7 @@
 
     /// Starts a process; on return it listens, but may not be ready yet.
     pub fn start_with(&self, setup: Setup) -> Process {
-        let console = console_address();
+        let console = unused_address();
         let setup = self.set_up(console, setup);
         let rig = Rig::set_up(self.workers.listed.clone(), &self.settings, setup);
         Process { rig, console }
@@ -262,16 +267,6 @@
     }
 }
 
-/// An unused address for a console, on a loopback address that only this test process uses. An ephemeral port that was chosen
-/// by the system and released could be taken by another test before it is bound.
-pub fn console_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let [_, _, high, low] = process.to_be_bytes();
-    let port = 15_000 + (number / 200) as u16;
-    ([127, 64 + high % 128, low, 1 + (number % 200) as u8], port).into()
-}
-
 /// Runs a command on a console; `None` if nothing listens there or the process ends.
 pub fn call(console: SocketAddr, line: &str) -> Option<String> {
     let mut stream = TcpStream::connect(console).ok()?;
--- a/dispatcher/tests/descriptors.rs
+++ b/dispatcher/tests/descriptors.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use rustix::process::{prlimit, Pid, Resource, Rlimit};
 use std::io::Read;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// The descriptors granted by the platform, in the configuration and as the limit of the process.
@@ -43,14 +43,6 @@
     std::fs::read_dir(format!("/proc/{}/fd", rig.pid())).expect("a process").count()
 }
 
-/// A free listening address that no other process takes before the program binds it: ephemeral ports of concurrent tests are
-/// at 127.0.0.1, whereas each test process has a loopback address of its own.
-fn free_addr() -> SocketAddr {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(127, 77, high, low);
-    TcpListener::bind((own, 0)).expect("a port").local_addr().expect("an address")
-}
-
 /// Settings under which a job is cancelled only by its client.
 fn long_deadline_settings() -> String {
     let settings = SETTINGS.replace(r#""most_held": 50"#, r#""most_held": 500"#);
@@ -184,7 +176,7 @@
 /// Connections that occupy the admin console, followed by a burst larger than the listen backlog.
 #[test]
 fn connections_to_the_admin_console_leave_descriptors_for_others() {
-    let console = free_addr();
+    let console = common::unused_address();
     let workers = vec![Worker::start("w0"), Worker::start("w1")];
     let discovery = Discovery::start(&entries(&workers, "up"), Behaviour::Up);
     let more = format!(r#""admin_addr": "{console}", "name": "descriptors{}","#, std::process::id());
--- a/dispatcher/tests/replacement.rs
+++ b/dispatcher/tests/replacement.rs
@@ -140,7 +140,7 @@
 /// A single process: the attempt is decided before the reply, and its connection is established after it.
 fn answered_while_a_connection_is_established() -> Result<(), String> {
     let mut closed = BlockedListener::start();
-    let console = common::replacement::console_address();
+    let console = common::unused_address();
     let settings = SETTINGS.replace(r#""connect_timeout_ms": 1000"#, r#""connect_timeout_ms": 6000"#);
     let more = format!(r#""admin_addr": "{console}", "name": "late{}","#, std::process::id());
     let temp_dir = common::create_temp_dir();
--- a/dispatcher/tests/signals.rs
+++ b/dispatcher/tests/signals.rs
@@ -6,7 +6,6 @@
 use common::discovery::{entry, Behaviour, Discovery};
 use common::{process_state, signal, wait_until, Client, Rig, Setup, Worker, SETTINGS};
 use rstest::rstest;
-use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 const DONE: &str = r#","result":"a chart""#;
@@ -120,7 +119,7 @@
 /// same address serves its retry at once.
 #[test]
 fn a_process_killed_right_after_an_accept_is_followed_by_the_next() {
-    let listen = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let listen = common::unused_address();
     let worker = Worker::start("w0");
     let listed = vec![(worker.id.clone(), worker.addr)];
     let setup = Setup { stops: "http.accepted:2:kill", listen: Some(listen), ..Setup::default() };
--- a/dispatcher/tests/system_calls.rs
+++ b/dispatcher/tests/system_calls.rs
@@ -163,7 +163,7 @@
     let mut faults = Faults::none();
     let operator = r#"{"beanstalkd": {"listen": "127.0.0.1:0",
         "tubes": [{"tube": "statements", "class": "statement", "answers": "done"}]}}"#;
-    let console = common::replacement::console_address();
+    let console = common::unused_address();
     let setup = Setup {
         operator: Some(operator),
         extra_config: format!(r#""admin_addr": "{console}","#),
