What is read of a connection at a time is limited by what it may hold parsed

Callers saw nothing until the platform killed the process: clients that send 16 small requests at once, or half a body in chunks of one byte, took a dispatcher with 16 MB to 36,828 and 28,036 KiB of 16,384.

Cause: the HTTP library parses all that it is handed, up to 8 KiB, before the first request is looked at. A request takes some 7 KB parsed and a chunk 32 bytes, so a connection that is reckoned with 32 KiB took up to 140.

The slot says how much may be read: 1 KiB of heads, between requests and of bodies in small chunks, a body of declared length up to its end, and 8 KiB at most.

--- a/dispatcher/src/listeners/connection_slots.rs
+++ b/dispatcher/src/listeners/connection_slots.rs
@@ -22,6 +22,14 @@
 /// Interval between checks for connections that have exceeded a time limit.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Bytes that are read at a time, so that the server can process them before more come and other connections get their turn.
+const MAX_BYTES_PER_READ: usize = 8 << 10;
+/// Bytes that are read at a time where they may hold many requests or chunks. The server parses all of what was read, and each
+/// request and chunk takes far more memory parsed than it has bytes.
+const MAX_UNDELIMITED_BYTES_PER_READ: usize = 1 << 10;
+/// A chunk of at least this size is followed by larger reads.
+const LARGE_CHUNK_BYTES: usize = 512;
+
 /// The stage of a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
@@ -77,6 +85,8 @@
     response_left: Cell<Option<usize>>,
     abort: Cell<Option<AbortCause>>,
     aborted: Notify,
+    /// Bytes that may be read until the server has processed them.
+    read_limit: Cell<usize>,
     /// The task that continues reading once the current request is answered.
     reader: Cell<Option<Waker>>,
     /// Since when there may be unread bytes; `None` if there were none at the last check.
@@ -106,6 +116,9 @@
             self.stage_since.set(Instant::now());
         }
         self.answered.set(self.answered.get() || stage == Stage::Idle);
+        if matches!(stage, Stage::Idle | Stage::Closing) {
+            self.read_limit.set(MAX_UNDELIMITED_BYTES_PER_READ);
+        }
         if !self.leaves_data_unread() {
             self.reader.take().map(Waker::wake).unwrap_or_default();
         }
@@ -116,6 +129,22 @@
         matches!(self.stage.get(), Stage::Processing | Stage::AwaitingMemory)
     }
 
+    /// Bytes that may be read until the server has processed them.
+    pub fn read_limit(&self) -> usize {
+        self.read_limit.get()
+    }
+
+    /// Limits reads while a body is received of which `left` bytes are left, if that is known, and `last_chunk` were received last.
+    /// No more is read than belongs to the body, and little of a body in small chunks.
+    pub fn limit_body_reads(&self, left: Option<u64>, last_chunk: usize) {
+        let limit = match left {
+            Some(left) => usize::try_from(left).unwrap_or(usize::MAX).clamp(1, MAX_BYTES_PER_READ),
+            None if last_chunk >= LARGE_CHUNK_BYTES => MAX_BYTES_PER_READ,
+            None => MAX_UNDELIMITED_BYTES_PER_READ,
+        };
+        self.read_limit.set(limit);
+    }
+
     /// Records the bytes that are leased for the request that is being received.
     pub fn set_leased(&self, bytes: usize) {
         if bytes > self.leased.replace(bytes) {
@@ -359,6 +388,7 @@
             answered: Cell::new(false),
             peer_closed: Cell::new(false),
             leased: Cell::new(0),
+            read_limit: Cell::new(MAX_UNDELIMITED_BYTES_PER_READ),
             leased_since: Cell::new(now),
             leased_for_buffers: Cell::new(0),
             response_left: Cell::new(None),
--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -21,8 +21,6 @@
 
 /// The largest request head. The HTTP server by itself would buffer up to 128 KiB per connection.
 const MAX_HEAD_BYTES: usize = 16 << 10;
-/// Bytes read before yielding, so that the server can process them before more come and other connections get their turn.
-const MAX_BYTES_PER_READ: usize = 8 << 10;
 /// Bytes that each connection may buffer in either direction without a lease. The HTTP server allocates buffers of this size.
 const BUFFER_BYTES: usize = 8 << 10;
 /// Bytes leased for a head that exceeds [`BUFFER_BYTES`]: the buffer doubles, and the old one is held while it is copied.
@@ -92,6 +90,24 @@
         is_held
     }
 
+    /// Reads at most `limit` bytes.
+    fn poll_read_at_most(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        limit: usize,
+    ) -> Poll<io::Result<()>> {
+        let mut input = self.input.borrow_mut();
+        if limit >= buf.remaining() {
+            return Pin::new(&mut *input).poll_read(cx, buf);
+        }
+        let mut bytes = [0; BUFFER_BYTES];
+        let mut limited = ReadBuf::new(&mut bytes[..limit.min(BUFFER_BYTES)]);
+        let read = Pin::new(&mut *input).poll_read(cx, &mut limited);
+        buf.put_slice(limited.filled());
+        read
+    }
+
     /// Peeks at the socket's receive buffer; returns 1 if there is data, and 0 at the end of the stream.
     fn peek(&self) -> io::Result<usize> {
         SockRef::from(self.stream()).peek(&mut [MaybeUninit::uninit()])
@@ -148,7 +164,7 @@
             let mut discarded = [0; 4096];
             self.shutdown().await?;
             while self.read(&mut discarded).await? > 0 {
-                if self.read_so_far.get() >= MAX_BYTES_PER_READ {
+                if self.read_so_far.get() >= BUFFER_BYTES {
                     self.read_so_far.set(0);
                     tokio::time::sleep(LINGER_PAUSE).await;
                 }
@@ -177,7 +193,8 @@
             }
             return Poll::Pending;
         }
-        if self.read_so_far.get() >= MAX_BYTES_PER_READ && slot.stage() != Stage::Closing {
+        let is_closing = slot.stage() == Stage::Closing;
+        if self.read_so_far.get() >= slot.read_limit() && !is_closing {
             self.read_so_far.set(0);
             cx.waker().wake_by_ref();
             return Poll::Pending;
@@ -196,7 +213,11 @@
             return Poll::Pending;
         }
         let before = buf.filled().len();
-        let read = Pin::new(&mut *self.input.borrow_mut()).poll_read(cx, buf);
+        let limit = match is_closing {
+            true => buf.remaining(),
+            false => slot.read_limit() - self.read_so_far.get(),
+        };
+        let read = self.poll_read_at_most(cx, buf, limit);
         if read.is_pending() {
             self.read_so_far.set(0);
             self.on_nothing_readable();
--- a/dispatcher/src/listeners/pass.rs
+++ b/dispatcher/src/listeners/pass.rs
@@ -98,8 +98,13 @@
                 slot.set_stage(Stage::Streaming);
             }
             job.body = Body::Stream(Upload::new(reader, proxy.max_replay_bytes));
-            let pump =
-                BodyPump { writer, slot: slot.clone(), left: proxy.max_body, too_large: too_large.clone() };
+            let pump = BodyPump {
+                writer,
+                slot: slot.clone(),
+                declared_left: length,
+                left: proxy.max_body,
+                too_large: too_large.clone(),
+            };
             actix_rt::spawn(pump.run(request.take_payload()));
         } else {
             match read_body(&mut request, slot.as_deref(), &self.memory, Sender::Client).await {
@@ -185,13 +190,23 @@
 struct BodyPump {
     writer: Writer,
     slot: Option<Rc<ConnectionSlot>>,
+    /// Bytes of the declared length that were not received; `None` if no length was declared.
+    declared_left: Option<u64>,
+    /// Bytes that may still be received.
     left: u64,
     too_large: Rc<Cell<bool>>,
 }
 
 impl BodyPump {
+    /// Limits what is read next, when a chunk of this size was received.
+    fn limit_reads(&mut self, chunk: usize) {
+        self.declared_left = self.declared_left.map(|left| left.saturating_sub(chunk as u64));
+        self.slot.iter().for_each(|slot| slot.limit_body_reads(self.declared_left, chunk));
+    }
+
     /// Returns at the end of the body, or when nobody reads the stream any more. Dropped earlier, it marks the stream as broken.
     async fn run(mut self, mut payload: actix_http::Payload) {
+        self.limit_reads(0);
         let ended = loop {
             if self.writer.room().await.is_none() {
                 break StreamEnd::Truncated;
@@ -199,6 +214,7 @@
             match payload.next().await {
                 Some(Ok(chunk)) if chunk.len() as u64 <= self.left => {
                     self.left -= chunk.len() as u64;
+                    self.limit_reads(chunk.len());
                     self.writer.push(chunk);
                 }
                 Some(Ok(_)) => {
--- a/dispatcher/tests/memory.rs
+++ b/dispatcher/tests/memory.rs
@@ -16,6 +16,10 @@
 const CROWD_PER_THREE_DESCRIPTORS: usize = 2;
 /// Bytes that a client sends of a body of 64 KiB.
 const PART_OF_BODY: usize = 60_000;
+/// Chunks of one byte that a client sends of a body.
+const TINY_CHUNKS: usize = 10_000;
+/// Requests that a client sends at once.
+const REQUESTS_AT_ONCE: usize = 16;
 /// How long the clients of the crowd stay.
 const CROWD_STAYS: Duration = Duration::from_millis(1500);
 /// A usual client is served within this time, although the crowd stays.
@@ -45,17 +49,25 @@
     ResultNotTaken,
     /// Half a body, beside half a `put` on each connection of the beanstalkd listener.
     HalfPut,
+    /// Half a body in chunks of one byte, buffered or streamed.
+    HalfBodyInTinyChunks,
+    HalfStreamInTinyChunks,
+    /// As many requests at once as the listener reads ahead, each with a head of several KiB.
+    PipelinedRequests,
+    /// Takes nothing of a large result of a plain HTTP worker.
+    PlainResultNotTaken,
 }
 
 impl CrowdBehaviour {
     fn operator(self) -> Option<&'static str> {
         match self {
+            CrowdBehaviour::PlainResultNotTaken => Some(r#"{"workers":[{"kind":"m","protocol":"http"}]}"#),
             CrowdBehaviour::HalfRouteBody => Some(
                 r#"{"workers":[{"kind":"other","protocol":"http"}],
                 "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"other"}],
                 "routes":[{"path":"/web","match":"prefix","class":"page"}]}"#,
             ),
-            CrowdBehaviour::HalfStream => Some(
+            CrowdBehaviour::HalfStream | CrowdBehaviour::HalfStreamInTinyChunks => Some(
                 r#"{"workers":[{"kind":"other","protocol":"http"}],
                 "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"other"}],
                 "routes":[{"path":"/web","match":"prefix","class":"page","stream":true}]}"#,
@@ -71,6 +83,7 @@
     fn workers(self) -> WorkerBehaviour {
         match self {
             CrowdBehaviour::ResultNotTaken => WorkerBehaviour::ServesLargeResults,
+            CrowdBehaviour::PlainResultNotTaken => WorkerBehaviour::RespondsWithLargeResults,
             _ => WorkerBehaviour::Serves,
         }
     }
@@ -78,7 +91,9 @@
     fn request(self, number: usize) -> Vec<u8> {
         let path = match self {
             CrowdBehaviour::HalfCall => "/_jobs/news",
-            CrowdBehaviour::HalfRouteBody | CrowdBehaviour::HalfStream => "/web/a",
+            CrowdBehaviour::HalfRouteBody
+            | CrowdBehaviour::HalfStream
+            | CrowdBehaviour::HalfStreamInTinyChunks => "/web/a",
             _ => "/api",
         };
         let head = format!(
@@ -90,17 +105,28 @@
                 (format!("Transfer-Encoding: chunked\r\n\r\n{PART_OF_BODY:x}\r\n"), PART_OF_BODY)
             }
             CrowdBehaviour::WholeBody => (format!("Content-Length: {PART_OF_BODY}\r\n\r\n"), PART_OF_BODY),
-            CrowdBehaviour::ResultNotTaken => ("Content-Length: 4\r\n\r\nwork".into(), 0),
+            CrowdBehaviour::ResultNotTaken | CrowdBehaviour::PlainResultNotTaken => {
+                ("Content-Length: 4\r\n\r\nwork".into(), 0)
+            }
+            CrowdBehaviour::HalfBodyInTinyChunks | CrowdBehaviour::HalfStreamInTinyChunks => {
+                ("Transfer-Encoding: chunked\r\n\r\n".to_owned() + &"1\r\nx\r\n".repeat(TINY_CHUNKS), 0)
+            }
+            CrowdBehaviour::PipelinedRequests => {
+                (format!("X-Long: {}\r\nContent-Length: 4\r\n\r\nwork", "y".repeat(7_000)), 0)
+            }
             _ => ("Content-Length: 65536\r\n\r\n".into(), PART_OF_BODY),
         };
         let mut request = (head + &rest).into_bytes();
+        if self == CrowdBehaviour::PipelinedRequests {
+            request = request.repeat(REQUESTS_AT_ONCE);
+        }
         request.resize(request.len() + body, b'x');
         request
     }
 
     fn connect(self, addr: SocketAddr, number: usize) -> Option<TcpStream> {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
-        if self == CrowdBehaviour::ResultNotTaken {
+        if matches!(self, CrowdBehaviour::ResultNotTaken | CrowdBehaviour::PlainResultNotTaken) {
             socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).ok()?;
         }
         socket.connect(&addr.into()).ok()?;
@@ -205,7 +231,11 @@
         CrowdBehaviour::LongHead,
         CrowdBehaviour::WholeBody,
         CrowdBehaviour::ResultNotTaken,
-        CrowdBehaviour::HalfPut
+        CrowdBehaviour::HalfPut,
+        CrowdBehaviour::HalfBodyInTinyChunks,
+        CrowdBehaviour::HalfStreamInTinyChunks,
+        CrowdBehaviour::PipelinedRequests,
+        CrowdBehaviour::PlainResultNotTaken
     )]
     behaviour: CrowdBehaviour,
 ) {
@@ -231,7 +261,7 @@
     let setup = Setup { operator: behaviour.operator(), extra_config, ..Setup::default() };
     let process = dispatcher.start_with(setup);
     process.wait_until_ready();
-    if behaviour == CrowdBehaviour::WholeBody {
+    if matches!(behaviour, CrowdBehaviour::WholeBody | CrowdBehaviour::PipelinedRequests) {
         dispatcher.workers.set_behaviour(WorkerBehaviour::Hangs);
     }
     let peak = PeakMemory::watch(process.rig.pid());
