Answers of workers are held in leased memory

Callers saw a dispatcher that is killed for its memory when plain HTTP workers stop half way in results while clients hold their part: 17,444 and 18,152 KiB of 16,384 (two runs of the test on the code before).

Cause: results of plain HTTP workers for /api and tubes, and answers to probes, were collected without a lease.

They are leased before they are kept. A result without memory is not read until there is some; a probe without memory has failed locally. Short results and calls of workers may use the reserve of small requests, and a waiter takes what becomes free in any part it may use. After: 11,956 to 12,524 KiB in four runs of the test; memory.rs 22 of 22, 322 other tests of the dispatcher once.

--- a/dispatcher/src/listeners/request_body.rs
+++ b/dispatcher/src/listeners/request_body.rs
@@ -73,10 +73,8 @@
             if length > MAX_BODY {
                 return Err(BodyError::TooLarge);
             }
-            if length > body.leased() {
-                // The length is unknown. Buffers of few sizes keep the heap from being fragmented.
-                let rest = MAX_BODY - body.leased();
-                lease(&mut body, rest, slot, memory, sender).await?;
+            if let Some(bytes) = body.missing_room(None, length, MAX_BODY) {
+                lease(&mut body, bytes, slot, memory, sender).await?;
             }
             body.push(&chunk);
         }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -57,9 +57,9 @@
 use stop::RunningProcess;
 use store::{LoggedOperatorState, Store};
 use targets::beanstalkd::BeanstalkdTargets;
-use targets::client::HttpClient;
+use targets::client::{ClientLimits, HttpClient};
 use targets::http::HttpTargets;
-use targets::upstream::Upstreams;
+use targets::upstream::{UpstreamLimits, Upstreams};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
@@ -256,8 +256,13 @@
     actix_rt::spawn(monitor.clone().run(flows.clone()));
     let budgets = StreamBudget::new(config.memory.streams, STREAM_MIN_BYTES, STREAM_MAX_BYTES);
     let memory = MemoryBudget::new(config.memory.requests);
-    let client =
-        HttpClient::new(connect_timeout, keepalive, config.max_worker_calls, config.max_worker_connections);
+    let limits = ClientLimits {
+        connect_timeout,
+        keepalive,
+        max_calls: config.max_worker_calls,
+        max_open_connections: config.max_worker_connections,
+    };
+    let client = HttpClient::new(limits, memory.clone());
     let targets = HttpTargets::new(flows.clone(), client.clone(), connect_timeout, reports);
     flows.add_target(Rc::new(targets.clone()));
     let mut transports = FxHashMap::default();
@@ -267,8 +272,8 @@
         transports.insert(workers.kind.clone(), flows.add_target(Rc::new(transport)));
     }
     for workers in &config.http_workers {
-        let transport =
-            Upstreams::new(flows.clone(), workers, connect_timeout, keepalive, config.max_worker_calls);
+        let limits = UpstreamLimits { connect_timeout, keepalive, max_calls: config.max_worker_calls };
+        let transport = Upstreams::new(flows.clone(), workers, limits, memory.clone());
         transports.insert(workers.kind.clone(), flows.add_target(Rc::new(transport)));
     }
     let mut names = NameTable { zones: site.zones, kinds: site.kinds, transports };
--- a/dispatcher/src/memory.rs
+++ b/dispatcher/src/memory.rs
@@ -117,10 +117,13 @@
         }
     }
 
-    /// Leases `bytes` at once, or not at all. What finds no room in its reserve may use what is free for all.
+    /// Leases `bytes` at once, or not at all. What finds no room in its reserve may use what is free for all; a small call or
+    /// result of a worker also the reserve for small requests, so that large ones of other workers do not hold it up.
     pub fn try_lease(&self, bytes: usize, purpose: Purpose) -> Option<MemoryLease> {
+        let is_small_of_worker = purpose == Purpose::Worker && bytes <= SMALL_REQUEST_BYTES;
         let bytes = u32::try_from(bytes).ok()?;
-        let pools = [self.reserve(purpose), &self.bulk];
+        let last_resort = is_small_of_worker.then_some(&self.small_requests);
+        let pools = [self.reserve(purpose), &self.bulk].into_iter().chain(last_resort);
         pools.into_iter().find_map(|pool| pool.clone().try_acquire_many_owned(bytes).ok()).map(MemoryLease)
     }
 
@@ -142,6 +145,10 @@
                 },
                 () = tokio::time::sleep(RECLAIM_INTERVAL) => self.reclaim(),
             }
+            // Other parts may have become free, in which nothing is waited for.
+            if let Some(lease) = self.try_lease(bytes, purpose) {
+                return lease;
+            }
         }
     }
 
@@ -169,6 +176,18 @@
         self.leases.iter().map(MemoryLease::bytes).sum()
     }
 
+    /// How many bytes to lease for a body of `declared` or unknown length, of `max` bytes at most, so that there is room for `length`
+    /// bytes of it; `None` if there is already. Buffers of few sizes keep the heap from being fragmented.
+    pub fn missing_room(&self, declared: Option<usize>, length: usize, max: usize) -> Option<usize> {
+        let leased = self.leased();
+        let bytes = match declared {
+            Some(declared) => declared,
+            None if leased == 0 => SMALL_REQUEST_BYTES,
+            None => max - leased,
+        };
+        (length > leased && bytes > 0).then_some(bytes)
+    }
+
     /// Adds room for the bytes of a lease.
     pub fn extend_room(&mut self, lease: MemoryLease) {
         self.leases.push(lease);
--- a/dispatcher/src/memory/tests.rs
+++ b/dispatcher/src/memory/tests.rs
@@ -84,3 +84,28 @@
     assert!(memory.try_lease(bulk, Purpose::Bulk).is_some());
     assert!(LeasedBuffer::default().freeze().is_empty());
 }
+
+/// Guards against workers' short calls and results that wait behind large ones of clients or workers that stop half way in them.
+#[test]
+fn small_calls_of_workers_use_what_is_left_for_small_requests() {
+    let memory = MemoryBudget::new(TOTAL);
+    let _bulk = memory.try_lease(TOTAL - 2 * RESERVE, Purpose::Bulk).expect("room");
+    let _calls = memory.try_lease(RESERVE, Purpose::Worker).expect("a reserve");
+    assert!(memory.try_lease(SMALL_REQUEST_BYTES + 1, Purpose::Worker).is_none());
+    assert!(memory.try_lease(SMALL_REQUEST_BYTES, Purpose::Worker).is_some());
+}
+
+/// Guards against a wait for one part of the budget while another one is free.
+#[test]
+fn whoever_waits_for_a_reserve_takes_what_becomes_free_for_all() {
+    actix_rt::System::new().block_on(async {
+        let memory = MemoryBudget::new(TOTAL);
+        let bulk = memory.try_lease(TOTAL - 2 * RESERVE, Purpose::Bulk).expect("room");
+        let _calls = memory.try_lease(RESERVE, Purpose::Worker).expect("a reserve");
+        let mut waiting = Box::pin(memory.lease(RESERVE, Purpose::Worker));
+        assert!((&mut waiting).now_or_never().is_none());
+        drop(bulk);
+        let lease = tokio::time::timeout(RECLAIM_INTERVAL * 10, waiting).await.expect("it is free");
+        assert_eq!(lease.bytes(), RESERVE);
+    });
+}
--- a/dispatcher/src/targets/client.rs
+++ b/dispatcher/src/targets/client.rs
@@ -8,6 +8,7 @@
 use crate::facade::Load;
 use crate::fleet::FencedOperation;
 use crate::local_faults::is_local;
+use crate::memory::{LeasedBuffer, MemoryBudget, Purpose};
 use crate::pieces::{Pieces, PIECE_BYTES};
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
@@ -23,7 +24,7 @@
 use tokio::net::TcpStream;
 
 /// Answers of workers are short, since results arrive as separate calls.
-pub(super) const MAX_ANSWER_BYTES: usize = 64 << 10;
+const MAX_ANSWER_BYTES: usize = 64 << 10;
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for a worker to accept a job. Workers do not queue requests: they accept or refuse immediately.
 pub(super) const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -88,10 +89,24 @@
     }
 }
 
+/// Limits of an [`HttpClient`].
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    pub connect_timeout: Duration,
+    /// How long the peers keep idle connections.
+    pub keepalive: Duration,
+    /// Concurrent calls.
+    pub max_calls: usize,
+    /// Open connections, idle ones included.
+    pub max_open_connections: usize,
+}
+
 /// HTTP client with a connection pool for each address and a limit on concurrent calls.
 #[derive(Clone)]
 pub struct HttpClient {
     pools: Rc<RefCell<Pools>>,
+    /// For answers of workers that are kept.
+    memory: Rc<MemoryBudget>,
     calls: Rc<Cell<usize>>,
     max_calls: usize,
 }
@@ -233,13 +248,9 @@
 }
 
 impl HttpClient {
-    /// `max_calls` limits concurrent calls, `max_open_connections` limits connections, idle ones included.
-    pub fn new(
-        connect_timeout: Duration,
-        keepalive: Duration,
-        max_calls: usize,
-        max_open_connections: usize,
-    ) -> Self {
+    /// A client without connections. Answers of workers are held in leased memory.
+    pub fn new(limits: ClientLimits, memory: Rc<MemoryBudget>) -> Self {
+        let ClientLimits { connect_timeout, keepalive, max_calls, max_open_connections } = limits;
         let pools = Rc::new_cyclic(|weak_self| {
             RefCell::new(Pools {
                 by_addr: FxHashMap::default(),
@@ -252,11 +263,11 @@
                 weak_self: weak_self.clone(),
             })
         });
-        HttpClient { pools, calls: Rc::default(), max_calls }
+        HttpClient { pools, memory, calls: Rc::default(), max_calls }
     }
 
     /// Calls discovery. This is exempt from the limit on concurrent calls: there is one such call at a time,
-    /// and hanging calls to workers must not delay it.
+    /// and hanging calls to workers must not delay it. Its answer is not leased, so that no client can hold it up.
     pub async fn get(
         &self,
         addr: SocketAddr,
@@ -264,7 +275,18 @@
         time_limit: Duration,
         limit: usize,
     ) -> Result<(u16, Bytes), CallError> {
-        let exchange = self.exchange(Method::GET, addr, path, &[], Bytes::new(), limit);
+        let call = Call { method: Method::GET, addr, path, headers: &[], body: Bytes::new() };
+        self.get_within(call, AnswerBody::Whole { limit }, time_limit).await
+    }
+
+    async fn get_within(
+        &self,
+        call: Call<'_>,
+        kept: AnswerBody,
+        time_limit: Duration,
+    ) -> Result<(u16, Bytes), CallError> {
+        let addr = call.addr;
+        let exchange = self.exchange(call, kept);
         let answer = tokio::time::timeout(time_limit, exchange).await.unwrap_or(Err(CallError::Timeout));
         self.note_break(addr, answer).map(|answer| (answer.status, answer.body))
     }
@@ -279,7 +301,8 @@
     /// Probes a worker.
     pub(super) async fn probe(&self, addr: SocketAddr, path: &str) -> Result<(u16, Bytes), CallError> {
         let Some(_slot) = self.acquire_slot(&Method::GET) else { return Err(CallError::Busy) };
-        self.get(addr, path, PROBE_TIMEOUT, MAX_ANSWER_BYTES).await
+        let call = Call { method: Method::GET, addr, path, headers: &[], body: Bytes::new() };
+        self.get_within(call, AnswerBody::Leased, PROBE_TIMEOUT).await
     }
 
     /// Probes a worker on behalf of the fleet. `None` if this process may no longer act for the fleet.
@@ -291,7 +314,7 @@
     ) -> Result<Option<(u16, Bytes)>, CallError> {
         let Some(_slot) = self.acquire_slot(&Method::GET) else { return Err(CallError::Busy) };
         let connect_timeout = self.pools.borrow().connect_timeout;
-        health_check(addr, path, operation, (connect_timeout, PROBE_TIMEOUT), MAX_ANSWER_BYTES).await
+        health_check(addr, path, operation, (connect_timeout, PROBE_TIMEOUT), &self.memory).await
     }
 
     /// Reserves one of the concurrent calls.
@@ -308,27 +331,21 @@
 
     /// Calls a worker through a gate, which is checked right before the first byte. The call may take
     /// `time_limit` from that moment on, and `left` in total.
-    #[allow(clippy::too_many_arguments)]
     pub(super) async fn call_gated(
         &self,
         gate: &Rc<Gate>,
-        method: Method,
-        addr: SocketAddr,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Bytes,
+        call: Call<'_>,
         (time_limit, left): (Duration, Duration),
-        limit: usize,
     ) -> Result<HttpAnswer, CallError> {
-        let Some(_slot) = self.acquire_slot(&method) else { return Err(CallError::Busy) };
+        let Some(_slot) = self.acquire_slot(&call.method) else { return Err(CallError::Busy) };
         let until = Instant::now() + left;
         loop {
-            let exchange = self.exchange(method.clone(), addr, path, headers, body.clone(), limit);
+            let exchange = self.exchange(call.clone(), AnswerBody::Discarded);
             let left = until.saturating_duration_since(Instant::now());
             match gate.clone().call(exchange, time_limit, left).await {
                 // The pool has dropped that connection and nothing was sent: another connection is tried.
                 Err(CallError::Stale) => gate.reset_if_stale(),
-                answer => return self.note_break(addr, answer),
+                answer => return self.note_break(call.addr, answer),
             }
         }
     }
@@ -344,16 +361,9 @@
         answer
     }
 
-    async fn exchange(
-        &self,
-        method: Method,
-        addr: SocketAddr,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Bytes,
-        limit: usize,
-    ) -> Result<HttpAnswer, CallError> {
-        let (has_body, keeps_answer) = (method == Method::POST, method == Method::GET);
+    async fn exchange(&self, call: Call<'_>, kept: AnswerBody) -> Result<HttpAnswer, CallError> {
+        let Call { method, addr, path, headers, body } = call;
+        let has_body = method == Method::POST;
         let client = self.pools.borrow_mut().client(addr);
         let mut request = client.request(method, format!("http://{addr}{path}")).no_decompress();
         for &(name, value) in headers {
@@ -372,7 +382,7 @@
             if response.next().now_or_never().is_none_or(|chunk| chunk.is_some()) {
                 // Dropping the response closes the connection; nothing waits for it.
                 actix_rt::spawn(tokio::time::timeout(ACCEPT_TIMEOUT, async move {
-                    let mut left = limit;
+                    let mut left = MAX_ANSWER_BYTES;
                     while let Some(Ok(chunk)) = response.next().await {
                         left = left.saturating_sub(chunk.len());
                         if left == 0 {
@@ -383,20 +393,88 @@
             }
             return Ok(HttpAnswer { status: 202, rejected, load, body: Bytes::new() });
         }
-        let (mut body, mut length) = (BytesMut::new(), 0);
-        // The body is always read to its end, since the connection is reusable only then. That of a job or a cancellation says
-        // nothing and is not kept.
+        let mut body = ReceivedBody::new(kept);
+        // The body is always read to its end, since the connection is reusable only then.
         while let Some(chunk) = response.next().await {
             let chunk = chunk.map_err(|e| CallError::Broken(e.to_string()))?;
-            length += chunk.len();
-            if length > limit {
-                return Err(CallError::Broken("answer exceeds the size limit".into()));
-            }
-            if keeps_answer {
-                body.extend_from_slice(&chunk);
+            body.push(&chunk, &self.memory)?;
+        }
+        Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.into_bytes() })
+    }
+}
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub(super) struct Call<'a> {
+    pub(super) method: Method,
+    pub(super) addr: SocketAddr,
+    pub(super) path: &'a str,
+    pub(super) headers: &'a [(&'a str, &'a str)],
+    pub(super) body: Bytes,
+}
+
+/// What is kept of the body of an answer.
+#[derive(Clone, Copy, Debug)]
+enum AnswerBody {
+    /// Nothing: that of a job or a cancellation says nothing.
+    Discarded,
+    /// All of it, in leased memory.
+    Leased,
+    /// All of it, up to `limit` bytes.
+    Whole { limit: usize },
+}
+
+/// The body of an answer, as far as it was received.
+pub(super) struct ReceivedBody {
+    kept: AnswerBody,
+    length: usize,
+    leased: LeasedBuffer,
+    whole: BytesMut,
+}
+
+impl ReceivedBody {
+    fn new(kept: AnswerBody) -> Self {
+        ReceivedBody { kept, length: 0, leased: LeasedBuffer::default(), whole: BytesMut::new() }
+    }
+
+    /// The body of an answer of a worker.
+    pub(super) fn leased() -> Self {
+        ReceivedBody::new(AnswerBody::Leased)
+    }
+
+    /// Appends a chunk.
+    ///
+    /// # Errors
+    /// The body is too long, or there is no memory for it now, which says nothing about the peer.
+    pub(super) fn push(&mut self, chunk: &[u8], memory: &MemoryBudget) -> Result<(), CallError> {
+        self.length += chunk.len();
+        let limit = match self.kept {
+            AnswerBody::Discarded | AnswerBody::Leased => MAX_ANSWER_BYTES,
+            AnswerBody::Whole { limit } => limit,
+        };
+        if self.length > limit {
+            return Err(CallError::Broken("answer exceeds the size limit".into()));
+        }
+        match self.kept {
+            AnswerBody::Discarded => {}
+            AnswerBody::Whole { .. } => self.whole.extend_from_slice(chunk),
+            AnswerBody::Leased => {
+                while let Some(bytes) = self.leased.missing_room(None, self.length, limit) {
+                    let lease = memory.try_lease(bytes, Purpose::Worker);
+                    let lease = lease.ok_or_else(|| CallError::Local("no memory for the answer".into()))?;
+                    self.leased.extend_room(lease);
+                }
+                self.leased.push(chunk);
             }
         }
-        Ok(HttpAnswer { status: response.status().as_u16(), rejected, load, body: body.freeze() })
+        Ok(())
+    }
+
+    pub(super) fn into_bytes(self) -> Bytes {
+        match self.kept {
+            AnswerBody::Leased => self.leased.freeze(),
+            AnswerBody::Discarded | AnswerBody::Whole { .. } => self.whole.freeze(),
+        }
     }
 }
 
@@ -406,3 +484,6 @@
     pub(super) load: Option<Load>,
     body: Bytes,
 }
+
+#[cfg(test)]
+mod tests;
--- a/dispatcher/src/targets/health_check.rs
+++ b/dispatcher/src/targets/health_check.rs
@@ -2,9 +2,10 @@
 //! and the request is written in the same step, so that no wait separates the check of the lease from the
 //! write.
 
-use super::client::CallError;
+use super::client::{CallError, ReceivedBody};
 use crate::fleet::FencedOperation;
 use crate::local_faults::is_local;
+use crate::memory::MemoryBudget;
 use crate::stops;
 use bytes::{Bytes, BytesMut};
 use http::Method;
@@ -19,13 +20,13 @@
 /// Requests a path with a fencing token. `None`: the lease of this process has expired, and nothing was sent.
 ///
 /// # Errors
-/// No connection, no answer in time, or an invalid answer.
+/// No connection, no answer in time, an invalid answer, or no memory for it.
 pub async fn health_check(
     addr: SocketAddr,
     path: &str,
     operation: &FencedOperation,
     (connect_timeout, exchange_timeout): (Duration, Duration),
-    limit: usize,
+    memory: &MemoryBudget,
 ) -> Result<Option<(u16, Bytes)>, CallError> {
     let mut stream = match timeout(connect_timeout, TcpStream::connect(addr)).await {
         Err(_) => return Err(CallError::NoConnection("connect timed out".into())),
@@ -49,32 +50,29 @@
             return Err(CallError::Broken("request could be written only in part".into()));
         }
         stops::at("act.written");
-        read_answer(&mut stream, limit).await.map(Some)
+        read_answer(&mut stream, memory).await.map(Some)
     };
     timeout(exchange_timeout, exchange).await.unwrap_or(Err(CallError::Timeout))
 }
 
-async fn read_answer(stream: &mut TcpStream, limit: usize) -> Result<(u16, Bytes), CallError> {
+async fn read_answer(stream: &mut TcpStream, memory: &MemoryBudget) -> Result<(u16, Bytes), CallError> {
     let broken = |reason: String| CallError::Broken(reason);
-    let (mut input, mut body) = (BytesMut::new(), BytesMut::new());
+    let (mut input, mut body) = (BytesMut::new(), ReceivedBody::leased());
     let (mut incoming, mut status) = (ResponseDecoder::new(Method::GET), 0);
     loop {
         while let Some(event) = incoming.next(&mut input).map_err(|e| broken(e.to_string()))? {
             match event {
                 ResponseEvent::Head(head) => status = head.status.as_u16(),
-                ResponseEvent::Data(data) if body.len() + data.len() > limit => {
-                    return Err(broken("answer exceeds the size limit".into()));
-                }
-                ResponseEvent::Data(data) => body.extend_from_slice(&data),
+                ResponseEvent::Data(data) => body.push(&data, memory)?,
                 ResponseEvent::Interim(_) | ResponseEvent::Trailers(_) | ResponseEvent::End { .. } => {}
             }
         }
         if incoming.is_finished() {
-            return Ok((status, body.freeze()));
+            return Ok((status, body.into_bytes()));
         }
         if stream.read_buf(&mut input).await.map_err(|e| broken(e.to_string()))? == 0 {
             incoming.eof().map_err(|e| broken(e.to_string()))?;
-            return Ok((status, body.freeze()));
+            return Ok((status, body.into_bytes()));
         }
     }
 }
--- a/dispatcher/src/targets/http.rs
+++ b/dispatcher/src/targets/http.rs
@@ -2,7 +2,7 @@
 //! updates arrive as calls to the dispatcher's own address (`HttpTargets::apply_update`). After the 202 a
 //! forward has no connection.
 
-use super::client::{CallError, HttpAnswer, HttpClient, ACCEPT_TIMEOUT, MAX_ANSWER_BYTES};
+use super::client::{Call, CallError, HttpAnswer, HttpClient, ACCEPT_TIMEOUT};
 use super::gate::Gate;
 use super::load;
 use crate::facade::{Load, Outcome, TargetId};
@@ -258,18 +258,9 @@
             if finished != Some(false) {
                 break;
             }
-            let (addr, body, time_limit) = (forward.addr, Bytes::new(), (time_limit, time_limit));
-            let call = self.client.call_gated(
-                &gate,
-                Method::DELETE,
-                addr,
-                &path,
-                &[],
-                body,
-                time_limit,
-                MAX_ANSWER_BYTES,
-            );
-            match call.await {
+            let (addr, body) = (forward.addr, Bytes::new());
+            let call = Call { method: Method::DELETE, addr, path: &path, headers: &[], body };
+            match self.client.call_gated(&gate, call, (time_limit, time_limit)).await {
                 Ok(_) | Err(CallError::NotPermitted) => break,
                 // The process is dead, or it is alive and at its connection limit. Only a worker that is no
                 // longer listed is given up, since the job may still run and a second copy must not be started.
@@ -336,11 +327,9 @@
             (header::CONTENT_TYPE.as_str(), "application/octet-stream"),
         ];
         headers.extend(idempotency_key.map(|key| ("Idempotency-Key", key)));
-        let (addr, body, time_limit) = (forward.addr, body.whole(), (ACCEPT_TIMEOUT, time_left));
-        let answer = self
-            .client
-            .call_gated(gate, Method::POST, addr, path, &headers, body, time_limit, MAX_ANSWER_BYTES)
-            .await;
+        let (addr, body) = (forward.addr, body.whole());
+        let call = Call { method: Method::POST, addr, path, headers: &headers, body };
+        let answer = self.client.call_gated(gate, call, (ACCEPT_TIMEOUT, time_left)).await;
         let load = answer.as_ref().ok().and_then(|answer| answer.load);
         let outcome = match answer {
             Ok(HttpAnswer { status: 202, .. }) => return,
--- a/dispatcher/src/targets/upstream.rs
+++ b/dispatcher/src/targets/upstream.rs
@@ -8,6 +8,7 @@
 use crate::fleet::FencedOperation;
 use crate::flow::{AttemptMessage, Flows, Forward, ForwardId, StreamedAnswer, Target};
 use crate::local_faults::{is_local, LOCAL_FAULT_RETRY_DELAY};
+use crate::memory::{LeasedBuffer, MemoryBudget, Purpose};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method};
 use lineroute_http1::{
@@ -54,9 +55,20 @@
     stage: Rc<Cell<AttemptStage>>,
 }
 
+/// Limits of the connections to workers of one kind.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamLimits {
+    pub connect_timeout: Duration,
+    /// How long the workers keep idle connections.
+    pub keepalive: Duration,
+    /// Concurrent attempts.
+    pub max_calls: usize,
+}
+
 struct Inner {
     flows: Flows,
     forwarding: Forwarding,
+    memory: Rc<MemoryBudget>,
     connect_timeout: Duration,
     keepalive: Duration,
     max_calls: usize,
@@ -118,21 +130,20 @@
 }
 
 impl Upstreams {
-    /// Handles forwards to workers of one kind, at most `max_calls` at a time. `keepalive`: how long the
-    /// workers keep idle connections.
+    /// Handles forwards to workers of one kind. Answers that have to be complete are held in leased memory.
     pub fn new(
         flows: Flows,
         workers: &HttpWorkers,
-        connect_timeout: Duration,
-        keepalive: Duration,
-        max_calls: usize,
+        limits: UpstreamLimits,
+        memory: Rc<MemoryBudget>,
     ) -> Self {
         Upstreams(Rc::new(Inner {
             flows,
             forwarding: workers.forwarding.clone(),
-            connect_timeout,
-            keepalive: keepalive.mul_f64(IDLE_TIMEOUT_FRACTION),
-            max_calls,
+            memory,
+            connect_timeout: limits.connect_timeout,
+            keepalive: limits.keepalive.mul_f64(IDLE_TIMEOUT_FRACTION),
+            max_calls: limits.max_calls,
             calls: Cell::new(0),
             idle: RefCell::default(),
             in_flight: RefCell::default(),
@@ -383,7 +394,8 @@
             (ProgressMonitor::new(limits), ProgressMonitor::new(limits));
         let mut input = BytesMut::new();
         let mut writer: Option<Writer> = None;
-        let (mut buffered, mut status) = (BytesMut::new(), 0);
+        let (mut buffered, mut status) = (LeasedBuffer::default(), 0);
+        let mut declared = None;
         let broken = |fault: ParseError, stage: AttemptStage| {
             warn!(target = %forward.target_name, error = %fault, "upstream: invalid HTTP response");
             ForwardEnd::of(classify(stage, AttemptEnd::Broken))
@@ -400,6 +412,7 @@
                     ResponseEvent::Interim(_) | ResponseEvent::Trailers(_) => {}
                     ResponseEvent::Head(head) => {
                         status = head.status.as_u16();
+                        declared = declared_length(&head);
                         let rejected = head.headers.get("x-rejected").is_some_and(|v| v.as_bytes() == b"1");
                         let verdict = classify(stage.get(), AttemptEnd::Status(status, rejected));
                         if verdict != AttemptResult::Committed {
@@ -420,10 +433,10 @@
                     }
                     ResponseEvent::Data(data) => match &writer {
                         Some(writer) => writer.push(data),
-                        None if buffered.len() + data.len() > MAX_BUFFERED_ANSWER => {
+                        None if !self.buffer(&mut buffered, declared, &data).await => {
                             return ForwardEnd::of(AttemptResult::Failed)
                         }
-                        None => buffered.extend_from_slice(&data),
+                        None => {}
                     },
                     ResponseEvent::End { reusable } => {
                         return self.finish_answer(writer, buffered, status, reusable)
@@ -502,10 +515,24 @@
         self.0.flows.stream_answer(forward.id, streamed).then_some(writer)
     }
 
+    /// Appends a part of an answer that has to be complete; false if the answer is too long. While there is no memory for it,
+    /// nothing more is read, up to the deadline of the flow. If this is dropped, the leases are returned with the buffer.
+    async fn buffer(&self, buffered: &mut LeasedBuffer, declared: Option<usize>, data: &[u8]) -> bool {
+        let length = buffered.len() + data.len();
+        if length.max(declared.unwrap_or(0)) > MAX_BUFFERED_ANSWER {
+            return false;
+        }
+        while let Some(bytes) = buffered.missing_room(declared, length, MAX_BUFFERED_ANSWER) {
+            buffered.extend_room(self.0.memory.lease(bytes, Purpose::Worker).await);
+        }
+        buffered.push(data);
+        true
+    }
+
     fn finish_answer(
         &self,
         writer: Option<Writer>,
-        buffered: BytesMut,
+        buffered: LeasedBuffer,
         status: u16,
         reusable: bool,
     ) -> ForwardEnd {
@@ -536,6 +563,14 @@
     }
 }
 
+/// The length of an answer's body, if its head declares it.
+fn declared_length(head: &ResponseHead) -> Option<usize> {
+    match head.framing {
+        Framing::Length(length) => usize::try_from(length).ok(),
+        Framing::None | Framing::Chunked | Framing::UntilClose => None,
+    }
+}
+
 /// The source of an attempt's request body.
 enum BodySource {
     Whole(Option<Bytes>),
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -82,10 +82,10 @@
         let _ = self.answer.send(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
     }
 
-    /// Responds with a body, as a plain HTTP worker does.
-    pub fn respond_with_body(self, body: &str) {
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        let _ = self.answer.send(head + body);
+    /// Responds as a plain HTTP worker does, with the beginning of a body of `length` bytes or all of it.
+    pub fn respond_with_body(self, beginning: &str, length: usize) {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        let _ = self.answer.send(head + beginning);
     }
 
     pub fn reference(&self) -> &str {
--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -31,6 +31,8 @@
     ServesLargeResults,
     /// Responds with a result of [`LARGE_RESULT_BYTES`], as a plain HTTP worker does.
     RespondsWithLargeResults,
+    /// As a plain HTTP worker: responds, but stops before the end of a large result to jobs of a crowd.
+    StopsInResults,
     /// Reads the request and sends nothing, as a plain HTTP worker does that is still computing.
     Silent,
 }
@@ -125,8 +127,12 @@
             WorkerBehaviour::Silent => unanswered.push(request),
             WorkerBehaviour::Hangs => request.respond("202 Accepted"),
             WorkerBehaviour::RespondsWithLargeResults => {
-                request.respond_with_body(&"r".repeat(LARGE_RESULT_BYTES));
+                request.respond_with_body(&"r".repeat(LARGE_RESULT_BYTES), LARGE_RESULT_BYTES);
             }
+            WorkerBehaviour::StopsInResults if reference.starts_with("crowd") => {
+                request.respond_with_body(&"r".repeat(LARGE_RESULT_BYTES - 1), LARGE_RESULT_BYTES);
+            }
+            WorkerBehaviour::StopsInResults => request.respond_with_body("a chart", "a chart".len()),
             WorkerBehaviour::Serves | WorkerBehaviour::ServesLargeResults => {
                 request.respond("202 Accepted");
                 let from = worker.id.clone();
--- a/dispatcher/tests/memory.rs
+++ b/dispatcher/tests/memory.rs
@@ -16,6 +16,8 @@
 const CROWD_PER_THREE_DESCRIPTORS: usize = 2;
 /// Bytes that a client sends of a body of 64 KiB.
 const PART_OF_BODY: usize = 60_000;
+/// Results of plain HTTP workers that stop before their end.
+const HALF_RESULTS: usize = 240;
 /// Chunks of one byte that a client sends of a body.
 const TINY_CHUNKS: usize = 10_000;
 /// Requests that a client sends at once.
@@ -56,12 +58,16 @@
     PipelinedRequests,
     /// Takes nothing of a large result of a plain HTTP worker.
     PlainResultNotTaken,
+    /// Half a body, beside large results of plain HTTP workers that stop before their end.
+    HalfPlainResults,
 }
 
 impl CrowdBehaviour {
     fn operator(self) -> Option<&'static str> {
         match self {
-            CrowdBehaviour::PlainResultNotTaken => Some(r#"{"workers":[{"kind":"m","protocol":"http"}]}"#),
+            CrowdBehaviour::PlainResultNotTaken | CrowdBehaviour::HalfPlainResults => {
+                Some(r#"{"workers":[{"kind":"m","protocol":"http"}]}"#)
+            }
             CrowdBehaviour::HalfRouteBody => Some(
                 r#"{"workers":[{"kind":"other","protocol":"http"}],
                 "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"other"}],
@@ -83,11 +89,20 @@
     fn workers(self) -> WorkerBehaviour {
         match self {
             CrowdBehaviour::ResultNotTaken => WorkerBehaviour::ServesLargeResults,
+            CrowdBehaviour::HalfPlainResults => WorkerBehaviour::StopsInResults,
             CrowdBehaviour::PlainResultNotTaken => WorkerBehaviour::RespondsWithLargeResults,
             _ => WorkerBehaviour::Serves,
         }
     }
 
+    /// Number of workers; each takes few jobs at a time at first.
+    fn worker_count(self) -> usize {
+        match self {
+            CrowdBehaviour::HalfPlainResults => HALF_RESULTS / 2,
+            _ => 2,
+        }
+    }
+
     fn request(self, number: usize) -> Vec<u8> {
         let path = match self {
             CrowdBehaviour::HalfCall => "/_jobs/news",
@@ -108,6 +123,9 @@
             CrowdBehaviour::ResultNotTaken | CrowdBehaviour::PlainResultNotTaken => {
                 ("Content-Length: 4\r\n\r\nwork".into(), 0)
             }
+            CrowdBehaviour::HalfPlainResults if number < HALF_RESULTS => {
+                ("Content-Length: 4\r\n\r\nwork".into(), 0)
+            }
             CrowdBehaviour::HalfBodyInTinyChunks | CrowdBehaviour::HalfStreamInTinyChunks => {
                 ("Transfer-Encoding: chunked\r\n\r\n".to_owned() + &"1\r\nx\r\n".repeat(TINY_CHUNKS), 0)
             }
@@ -235,7 +253,8 @@
         CrowdBehaviour::HalfBodyInTinyChunks,
         CrowdBehaviour::HalfStreamInTinyChunks,
         CrowdBehaviour::PipelinedRequests,
-        CrowdBehaviour::PlainResultNotTaken
+        CrowdBehaviour::PlainResultNotTaken,
+        CrowdBehaviour::HalfPlainResults
     )]
     behaviour: CrowdBehaviour,
 ) {
@@ -256,7 +275,7 @@
 fn check_crowd(behaviour: CrowdBehaviour, (memory_mb, sockets): (u64, usize)) {
     let _alone = ONE_CROWD.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let settings = SETTINGS.replace(r#""most_held": 50"#, r#""most_held": 20000"#);
-    let dispatcher = Dispatcher::with_settings(2, behaviour.workers(), &settings);
+    let dispatcher = Dispatcher::with_settings(behaviour.worker_count(), behaviour.workers(), &settings);
     let extra_config = format!(r#""limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},"#);
     let setup = Setup { operator: behaviour.operator(), extra_config, ..Setup::default() };
     let process = dispatcher.start_with(setup);
