Connections of operators and calls of siblings are in the sum of the memory

Cause: the parts of the memory limit left out the admin listener (up to 64 connections, a head of 128 KiB each) and what siblings send to the admin console (48 lines of 65 KiB).

Their connections are taken from those of clients; a sibling's call is leased before more than 1 KiB of it is held, and is told to come again where there is no memory, as when the console is full. lineroute check refuses an admin.max_connections that is too large for the memory.

--- a/dispatcher/src/admin/console.rs
+++ b/dispatcher/src/admin/console.rs
@@ -8,6 +8,7 @@
 use super::AdminService;
 use crate::accept::AcceptRetry;
 use crate::local_faults::open_with_retry;
+use crate::memory::{MemoryBudget, MemoryLease, Purpose};
 use crate::siblings::protocol::{MAX_CALL, PREFIX};
 use crate::siblings::ProcessContext;
 use lineroute_control::admin_console::{parse, Command, Parsed, MAX_LINE};
@@ -26,6 +27,13 @@
 /// Concurrent connections; further callers get an error and are closed. Counted in the limit on sockets.
 pub const MAX_CONNECTIONS: usize = 48;
 
+/// Bytes of a sibling's call that are held without a lease.
+const SHORT_CALL_BYTES: usize = 1 << 10;
+/// Bytes leased for a longer call: the line, and its text while it is parsed.
+const LONG_CALL_LEASE_BYTES: usize = 2 * MAX_CALL;
+/// Reply to a call that can't be handled now; siblings repeat it.
+const BUSY_REPLY: &str = "ERR busy: too many calls at once, come again in 1 s";
+
 /// Binds the console. Connections made before [`serve`] wait in the queue of the socket.
 ///
 /// # Errors
@@ -64,11 +72,13 @@
 
 async fn serve_connection(mut stream: TcpStream, calls: &AdminService, full: bool) {
     let answer = match full {
-        true => "ERR busy: too many calls at once, come again in 1 s".to_owned(),
-        false => match tokio::time::timeout(READ_TIMEOUT, read_line(&mut stream)).await {
+        true => BUSY_REPLY.to_owned(),
+        false => match tokio::time::timeout(READ_TIMEOUT, read_line(&mut stream, &calls.memory)).await {
             Ok(Some(Line::Operator(Ok(command)))) => answer(command, calls).await,
             Ok(Some(Line::Operator(Err(reason)))) => format!("ERR {reason}"),
-            Ok(Some(Line::Sibling(call))) => answer_sibling(&call, calls),
+            // The lease is held until the call is answered.
+            Ok(Some(Line::Sibling(call, _lease))) => answer_sibling(&call, calls),
+            Ok(Some(Line::NoMemory)) => BUSY_REPLY.to_owned(),
             Ok(None) => return,
             Err(_) => format!("ERR no whole line in {} s", READ_TIMEOUT.as_secs()),
         },
@@ -84,13 +94,17 @@
 enum Line {
     /// An operator's command, or why it is invalid.
     Operator(Result<Command, String>),
-    /// A call from a sibling process, without its prefix.
-    Sibling(String),
+    /// A call from a sibling process, without its prefix, and the memory leased for it.
+    Sibling(String, Option<MemoryLease>),
+    /// There is no memory for the rest of a call. The sibling repeats it.
+    NoMemory,
 }
 
-/// Reads one line; `None` if the caller disconnected first, or sent more than a sibling may.
-async fn read_line(stream: &mut TcpStream) -> Option<Line> {
+/// Reads one line; `None` if the caller disconnected first, or sent more than a sibling may. Memory for a sibling's call is leased
+/// before more than [`SHORT_CALL_BYTES`] of it are held.
+async fn read_line(stream: &mut TcpStream, memory: &MemoryBudget) -> Option<Line> {
     let mut bytes = Vec::with_capacity(64);
+    let mut lease = None;
     let mut chunk = [0u8; MAX_LINE];
     loop {
         let got = stream.read(&mut chunk).await.ok().filter(|n| *n > 0)?;
@@ -103,11 +117,18 @@
         };
         if chunk[..got].contains(&b'\n') {
             let end = call.iter().position(|byte| *byte == b'\n')?;
-            return String::from_utf8(call[..end].to_vec()).ok().map(Line::Sibling);
+            return String::from_utf8(call[..end].to_vec()).ok().map(|call| Line::Sibling(call, lease));
         }
         if call.len() > MAX_CALL {
             return None;
         }
+        if call.len() > SHORT_CALL_BYTES && lease.is_none() {
+            let Some(leased) = memory.try_lease(LONG_CALL_LEASE_BYTES, Purpose::Worker) else {
+                return Some(Line::NoMemory);
+            };
+            lease = Some(leased);
+            bytes.reserve_exact(PREFIX.len() + MAX_CALL + MAX_LINE - bytes.len());
+        }
     }
 }
 
--- a/dispatcher/src/config/memory.rs
+++ b/dispatcher/src/config/memory.rs
@@ -8,6 +8,10 @@
 const WORKER_CONNECTION_BYTES: usize = 16 << 10;
 /// Memory of a connection of the beanstalkd listener without leases.
 const BEANSTALKD_CONNECTION_BYTES: usize = 16 << 10;
+/// Memory of a connection of the admin listener: the HTTP server holds a head of up to 128 KiB, and a body has 16 KiB at most.
+const ADMIN_CONNECTION_BYTES: usize = 160 << 10;
+/// Memory of a connection of the admin console without leases.
+const CONSOLE_CONNECTION_BYTES: usize = 4 << 10;
 /// Parts of the limit, in sixteenths.
 const SIXTEENTHS: usize = 16;
 const PROCESS_SIXTEENTHS: usize = 1;
@@ -16,6 +20,23 @@
 const REQUESTS_SIXTEENTHS: usize = 3;
 const STREAMS_AND_BEANSTALKD_SIXTEENTHS: usize = 3;
 
+/// Connections of the listeners beside the one for HTTP clients; 0 where there is no such listener.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OtherConnections {
+    pub beanstalkd: usize,
+    pub admin: usize,
+    pub console: usize,
+}
+
+impl OtherConnections {
+    /// The memory that they take without leases, in bytes.
+    fn bytes(&self) -> usize {
+        self.beanstalkd * BEANSTALKD_CONNECTION_BYTES
+            + self.admin * ADMIN_CONNECTION_BYTES
+            + self.console * CONSOLE_CONNECTION_BYTES
+    }
+}
+
 /// The parts of the memory limit, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryPlan {
@@ -23,7 +44,7 @@
     pub limit: usize,
     /// The program's own data.
     pub process: usize,
-    /// Connections of clients, without what is leased for their requests. Those of the beanstalkd listener come first.
+    /// Connections of clients and operators, without what is leased for their requests. Those of HTTP clients come last.
     pub client_connections: usize,
     /// Connections to workers.
     pub worker_connections: usize,
@@ -67,10 +88,15 @@
         process + client_connections + worker_connections + requests + streams + beanstalkd_jobs
     }
 
-    /// The number of HTTP client connections that there is memory for beside those of the beanstalkd listener.
-    pub fn max_client_connections(&self, beanstalkd_connections: usize) -> usize {
-        let taken = beanstalkd_connections * BEANSTALKD_CONNECTION_BYTES;
-        self.client_connections.saturating_sub(taken) / CLIENT_CONNECTION_BYTES
+    /// The number of HTTP client connections that there is memory for beside the connections of other listeners.
+    pub fn max_client_connections(&self, others: OtherConnections) -> usize {
+        self.client_connections.saturating_sub(others.bytes()) / CLIENT_CONNECTION_BYTES
+    }
+
+    /// The number of connections of the admin listener that there is memory for: half of what the beanstalkd listener leaves.
+    pub fn max_admin_connections(&self, beanstalkd: usize) -> usize {
+        let taken = OtherConnections { beanstalkd, ..OtherConnections::default() }.bytes();
+        self.client_connections.saturating_sub(taken) / 2 / ADMIN_CONNECTION_BYTES
     }
 
     /// The number of connections to workers that there is memory for.
--- a/dispatcher/src/config/memory/tests.rs
+++ b/dispatcher/src/config/memory/tests.rs
@@ -8,10 +8,15 @@
             let plan = MemoryPlan::new(limit, streams, beanstalkd);
             assert!(plan.sum() <= limit, "{plan:?}");
             assert_eq!((plan.streams > 0, plan.beanstalkd_jobs > 0), (streams, beanstalkd));
-            let beanstalkd_connections = if beanstalkd { plan.max_beanstalkd_connections() } else { 0 };
-            let clients = plan.max_client_connections(beanstalkd_connections) * CLIENT_CONNECTION_BYTES
-                + beanstalkd_connections * BEANSTALKD_CONNECTION_BYTES;
-            assert!(clients <= plan.client_connections && clients > 0, "{plan:?}");
+            let beanstalkd = if beanstalkd { plan.max_beanstalkd_connections() } else { 0 };
+            let admin = plan.max_admin_connections(beanstalkd);
+            for others in [
+                OtherConnections { beanstalkd, admin: 0, console: 0 },
+                OtherConnections { beanstalkd, admin, console: crate::admin::console::MAX_CONNECTIONS },
+            ] {
+                let clients = plan.max_client_connections(others) * CLIENT_CONNECTION_BYTES;
+                assert!(clients + others.bytes() <= plan.client_connections && clients > 0, "{plan:?}");
+            }
         }
     }
 }
@@ -20,6 +25,10 @@
 #[test]
 fn memory_does_not_limit_connections_where_there_is_enough() {
     let plan = MemoryPlan::new(48 << 20, true, true);
-    assert!(plan.max_client_connections(64) >= 600, "{plan:?}");
+    assert!(
+        plan.max_client_connections(OtherConnections { beanstalkd: 64, ..OtherConnections::default() })
+            >= 600,
+        "{plan:?}"
+    );
     assert!(plan.max_worker_connections() >= 360, "{plan:?}");
 }
--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -11,7 +11,7 @@
     LoadGossipPeers, Peers, ProxyRoute, Route, StateDir, TestClock, Tube,
 };
 pub use faults::{read_json, Faults};
-pub use memory::MemoryPlan;
+pub use memory::{MemoryPlan, OtherConnections};
 pub use operator::{
     Matching, Operator, Protocol, RawAdmin, RawBeanstalkdListener, RawPeers, RawRoute, RawWorkers,
 };
@@ -303,7 +303,12 @@
     );
     let beanstalkd =
         operator.beanstalkd.map(|raw| check_beanstalkd_listener(raw, &platform, &memory, faults));
-    let beanstalkd_connections = beanstalkd.as_ref().map_or(0, |listener| listener.max_connections);
+    let other_connections = OtherConnections {
+        beanstalkd: beanstalkd.as_ref().map_or(0, |listener| listener.max_connections),
+        admin: admin.as_ref().map_or(0, |admin| admin.max_connections),
+        console: admin_console.flatten().map_or(0, |_| crate::admin::console::MAX_CONNECTIONS),
+    };
+    check_admin_memory(&memory, other_connections, faults);
     let max_worker_connections = (free / 8 * 3).min(memory.max_worker_connections());
     Some(Config {
         name,
@@ -313,7 +318,7 @@
         discovery,
         seed: seed?,
         memory,
-        max_client_connections: (free / 8 * 5).min(memory.max_client_connections(beanstalkd_connections)),
+        max_client_connections: (free / 8 * 5).min(memory.max_client_connections(other_connections)),
         max_worker_calls: (free / 4).min(max_worker_connections),
         max_worker_connections,
         known_workers,
@@ -582,15 +587,8 @@
             format!("{:?} is used both for jobs and for answers", t.answers),
         );
     }
-    let most = memory.max_beanstalkd_connections();
-    if raw.max_connections > most {
-        let message = format!(
-            "{} connections are more than the {most} that limits.memory_mb of {} has memory for",
-            raw.max_connections,
-            memory.limit >> 20
-        );
-        faults.add("operator's file: beanstalkd.max_connections", message);
-    }
+    let maximum = memory.max_beanstalkd_connections();
+    check_memory_for("beanstalkd.max_connections", raw.max_connections, maximum, memory, faults);
     BeanstalkdListenerConfig {
         listen: raw.listen,
         path: raw.path,
@@ -601,6 +599,23 @@
     }
 }
 
+/// Adds a fault if the admin listener may have more connections than there is memory for.
+fn check_admin_memory(memory: &MemoryPlan, connections: OtherConnections, faults: &mut Faults) {
+    let maximum = memory.max_admin_connections(connections.beanstalkd);
+    check_memory_for("admin.max_connections", connections.admin, maximum, memory, faults);
+}
+
+/// Adds a fault for a key of the operator's file that asks for more connections than there is memory for.
+fn check_memory_for(key: &str, wanted: usize, maximum: usize, memory: &MemoryPlan, faults: &mut Faults) {
+    if wanted > maximum {
+        let message = format!(
+            "{wanted} connections are more than the {maximum} that limits.memory_mb of {} has memory for",
+            memory.limit >> 20
+        );
+        faults.add(format!("operator's file: {key}"), message);
+    }
+}
+
 fn check_tube(key: &str, name: &str) -> Result<(), String> {
     // Leaves room for the dispatcher's name, which may be appended.
     match is_valid_name(name) && name.len() <= 128 {
--- a/dispatcher/tests/memory.rs
+++ b/dispatcher/tests/memory.rs
@@ -51,6 +51,8 @@
     ResultNotTaken,
     /// Half a body, beside half a `put` on each connection of the beanstalkd listener.
     HalfPut,
+    /// Half a body in one chunk, beside half a sibling's call on each connection of the admin console.
+    HalfSiblingCall,
     /// Half a body in chunks of one byte, buffered or streamed.
     HalfBodyInTinyChunks,
     HalfStreamInTinyChunks,
@@ -116,7 +118,7 @@
         );
         let (rest, body) = match self {
             CrowdBehaviour::LongHead => (format!("X-Long: {}", "y".repeat(15_000)), 0),
-            CrowdBehaviour::HalfChunk => {
+            CrowdBehaviour::HalfChunk | CrowdBehaviour::HalfSiblingCall => {
                 (format!("Transfer-Encoding: chunked\r\n\r\n{PART_OF_BODY:x}\r\n"), PART_OF_BODY)
             }
             CrowdBehaviour::WholeBody => (format!("Content-Length: {PART_OF_BODY}\r\n\r\n"), PART_OF_BODY),
@@ -204,18 +206,27 @@
     parts.into_iter().flat_map(|part| part.join().expect("a part of the crowd")).collect()
 }
 
-/// Half a `put` on as many connections as the beanstalkd listener has.
-fn start_puts(process: &Process) -> Vec<TcpStream> {
-    let Some(addr) = process.rig.beanstalkd_addr else { return Vec::new() };
+/// Connections that send this and stay.
+fn start_partial_commands(addr: SocketAddr, count: usize, command: &[u8]) -> Vec<TcpStream> {
     let connect = |_| {
         let mut stream = TcpStream::connect(addr).expect("the listener accepts");
-        let mut put = b"put 0 0 60 65535\r\n".to_vec();
-        put.resize(put.len() + PART_OF_BODY, b'x');
         stream.set_write_timeout(Some(CROWD_STAYS)).expect("a socket");
-        let _ = stream.write_all(&put);
+        let _ = stream.write_all(command);
         stream
     };
-    (0..64).map(connect).collect()
+    (0..count).map(connect).collect()
+}
+
+/// Half a `put` or half a sibling's call on as many connections as the listener in question has.
+fn start_others(behaviour: CrowdBehaviour, process: &Process) -> Vec<TcpStream> {
+    let partial = |command: &str| (command.to_owned() + &"x".repeat(PART_OF_BODY)).into_bytes();
+    match (behaviour, process.rig.beanstalkd_addr) {
+        (CrowdBehaviour::HalfSiblingCall, _) => {
+            start_partial_commands(process.console, 48, &partial("sibling "))
+        }
+        (_, Some(addr)) => start_partial_commands(addr, 64, &partial("put 0 0 60 65535\r\n")),
+        (_, None) => Vec::new(),
+    }
 }
 
 /// Sends jobs, each on a connection of its own, until one is served.
@@ -250,6 +261,7 @@
         CrowdBehaviour::WholeBody,
         CrowdBehaviour::ResultNotTaken,
         CrowdBehaviour::HalfPut,
+        CrowdBehaviour::HalfSiblingCall,
         CrowdBehaviour::HalfBodyInTinyChunks,
         CrowdBehaviour::HalfStreamInTinyChunks,
         CrowdBehaviour::PipelinedRequests,
@@ -284,7 +296,7 @@
         dispatcher.workers.set_behaviour(WorkerBehaviour::Hangs);
     }
     let peak = PeakMemory::watch(process.rig.pid());
-    let puts = start_puts(&process);
+    let others = start_others(behaviour, &process);
     let crowd = start_crowd(behaviour, dispatcher.addr(), sockets / 3 * CROWD_PER_THREE_DESCRIPTORS);
     let since = Instant::now();
     dispatcher.workers.set_behaviour(behaviour.workers());
@@ -292,7 +304,7 @@
     thread::sleep(CROWD_STAYS.saturating_sub(since.elapsed()));
     println!("{behaviour:?}, {memory_mb} MB, {sockets} descriptors: {} KiB", peak.kib());
     assert!(peak.kib() > 0 && peak.kib() <= memory_mb * 1024, "{} KiB of {memory_mb} MB", peak.kib());
-    drop((crowd, puts));
+    drop((crowd, others));
     // What was leased is free again.
     wait_until("a large request is served", || {
         let mut client = Client::new(dispatcher.addr());
