--- a/dispatcher/tests/request_ids.rs
+++ b/dispatcher/tests/request_ids.rs
@@ -51,6 +51,17 @@
     client.send(&format!("POST {path}"), &headers, "payload");
 }
 
+/// Headers of a request of each effect: one that may be repeated, one that may by its key, and one that may not.
+const REPEATABLE: &str = "X-Call-Class: quote\r\n";
+const BY_KEY: &str = "X-Call-Class: statement\r\nIdempotency-Key: key-1\r\n";
+const ONCE: &str = "X-Call-Class: order\r\n";
+
+/// Posts a request of an effect with a budget in milliseconds.
+fn post_with(client: &mut Client, effect: &str, reference: &str, budget: u32) {
+    let headers = format!("X-Call-Id: {reference}\r\n{effect}X-Caller: acme\r\nX-Budget-Ms: {budget}\r\n");
+    client.send("POST /api", &headers, "payload");
+}
+
 fn wait_for_attempts(workers: &Workers, reference: &str, count: usize) {
     wait_until("the worker has the attempt", || workers.attempts_of(reference).len() >= count);
 }
@@ -118,21 +129,52 @@
     assert_eq!(pair.dispatcher.workers.attempts_of("twice").len(), 1);
 }
 
+/// The same for each effect, whatever the effect of the second request with the id.
+#[rstest]
+fn an_id_is_refused_whatever_the_effects_of_both_requests(
+    #[values(REPEATABLE, BY_KEY, ONCE)] first: &str,
+    #[values(REPEATABLE, BY_KEY, ONCE)] second: &str,
+) {
+    let mut pair = Pair::start(WorkerBehaviour::Hangs, SECOND_ROUTE);
+    post_with(&mut pair.to_old, first, "twice", 7000);
+    wait_for_attempts(&pair.dispatcher.workers, "twice", 1);
+    post_with(&mut pair.to_new, second, "twice", 7000);
+    assert_eq!(pair.to_new.read_response().status(), 409);
+    assert_eq!(pair.dispatcher.workers.attempts_of("twice").len(), 1);
+    report_done(&pair, "twice");
+    assert_eq!(pair.to_old.read_response().status(), 200);
+}
+
 /// How the first request with an id ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum FirstEnds {
     Served,
     ClientLeaves,
+    /// Each worker rejects it unstarted.
+    Refused,
+    /// Its budget is over while a worker has it.
+    TimedOut,
+    /// The process gives it up before the platform may kill it.
+    Aborted,
     ProcessKilled,
 }
 
 /// Guards against an id that stays taken: once its request is over, however that came about, any process accepts it.
 #[rstest]
 fn an_id_is_accepted_again_once_its_request_is_over(
-    #[values(FirstEnds::Served, FirstEnds::ClientLeaves, FirstEnds::ProcessKilled)] end: FirstEnds,
+    #[values(
+        FirstEnds::Served,
+        FirstEnds::ClientLeaves,
+        FirstEnds::Refused,
+        FirstEnds::TimedOut,
+        FirstEnds::Aborted,
+        FirstEnds::ProcessKilled
+    )]
+    end: FirstEnds,
 ) {
-    let mut pair = Pair::start(WorkerBehaviour::Hangs, SECOND_ROUTE);
-    post(&mut pair.to_old, "/api", "again");
+    let behaviour = if end == FirstEnds::Refused { WorkerBehaviour::Rejects } else { WorkerBehaviour::Hangs };
+    let mut pair = Pair::start(behaviour, SECOND_ROUTE);
+    post_with(&mut pair.to_old, ONCE, "again", if end == FirstEnds::TimedOut { 700 } else { 7000 });
     wait_for_attempts(&pair.dispatcher.workers, "again", 1);
     match end {
         FirstEnds::Served => {
@@ -143,18 +185,26 @@
             pair.to_old = Client::new(pair.dispatcher.addr());
             wait_until("the worker is told", || !pair.dispatcher.workers.cancelled_jobs().is_empty());
         }
+        FirstEnds::Refused => assert_eq!(pair.to_old.read_response().status(), 503),
+        FirstEnds::TimedOut => assert_eq!(pair.to_old.read_response().status(), 504),
+        FirstEnds::Aborted => {
+            pair.old.rig.terminate();
+            assert_eq!(pair.to_old.read_response().status(), 504);
+        }
         FirstEnds::ProcessKilled => {
             common::signal(pair.old.rig.pid(), "-KILL");
             assert!(pair.to_old.is_closed_by_peer());
         }
     }
+    pair.dispatcher.workers.set_behaviour(WorkerBehaviour::Hangs);
+    let earlier = pair.dispatcher.workers.attempts_of("again").len();
     // The process may learn a moment later that the worker has cancelled the job, or that it is killed.
     wait_until("the id is accepted", || {
         post(&mut pair.to_new, "/api", "again");
         thread::sleep(std::time::Duration::from_millis(20));
         pair.to_new.is_unanswered() || pair.to_new.read_response().status() != 409
     });
-    wait_for_attempts(&pair.dispatcher.workers, "again", 2);
+    wait_for_attempts(&pair.dispatcher.workers, "again", earlier + 1);
     report_done(&pair, "again");
     assert_eq!(pair.to_new.read_response().status(), 200);
 }
