What is kept of an upload for a repeat is held in blocks

A client that streams one byte at a time, each read by the worker before the next, took 32 bytes for each byte that is kept for a repeat: 2 MB in place of 64 KiB, by reckoning.

Cause: ReplayBuffer kept each chunk as it was read, with its handle and its buffer, and counted lengths. Change: it copies them into blocks of 4 KiB, and an attempt's place in it is a number of bytes.

--- a/stream/tests/stream.rs
+++ b/stream/tests/stream.rs
@@ -121,6 +121,32 @@
     assert!(!replay.is_complete());
 }
 
+/// Guards against an upload of small chunks whose beginning takes many times what is counted of it: 32 bytes for each, and its
+/// buffer.
+#[test]
+fn a_replay_buffer_holds_small_chunks_in_few_blocks() {
+    let body = Bytes::from((0..10_000u32).map(|i| i as u8).collect::<Vec<_>>());
+    let mut replay = ReplayBuffer::new(body.len());
+    (0..body.len()).for_each(|at| drop(replay.push(&body.slice(at..=at))));
+    let mut cursor = ReplayCursor::default();
+    let chunks: Vec<Bytes> = std::iter::from_fn(|| replay.next_chunk(&mut cursor)).collect();
+    assert_eq!(chunks.len(), 3);
+    assert_eq!(chunks.concat(), body);
+}
+
+/// An attempt that has read part of a block goes on behind that part.
+#[test]
+fn a_replay_cursor_resumes_within_a_block() {
+    let mut replay = ReplayBuffer::new(100);
+    let mut cursor = ReplayCursor::default();
+    for chunk in [&b"begin"[..], b"ning"] {
+        replay.push(&Bytes::copy_from_slice(chunk));
+        assert_eq!(replay.next_chunk(&mut cursor).as_deref(), Some(chunk));
+        assert_eq!(replay.next_chunk(&mut cursor), None);
+    }
+    assert_eq!(replay.next_chunk(&mut ReplayCursor::default()).as_deref(), Some(&b"beginning"[..]));
+}
+
 const LIMITS: ProgressLimits =
     ProgressLimits { idle_timeout: ms(1000), min_bytes_per_second: 1000, window: ms(2000) };
 
