Locks on request ids outlast the removal of their file

A cleaner of temporary files that removes the lock file while a process runs makes the next process lock in another file, and an id that is open is accepted a second time.

Change: each process compares its open file with the named one every 0.1 s, opens the one that is there, and locks what it has in it. Until that succeeds the old file stays open.

--- a/dispatcher/src/siblings/reference_locks.rs
+++ b/dispatcher/src/siblings/reference_locks.rs
@@ -16,14 +16,17 @@
 use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::os::fd::{AsFd, BorrowedFd};
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tracing::{info, warn};
 
 /// Interval between attempts to open the file while that fails.
 const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a process checks that its file still is the one that other processes open.
+const FILE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why a reference was not locked.
 #[derive(Debug, Error)]
@@ -42,8 +45,9 @@
     /// `None` while the file can't be opened.
     file: RefCell<Option<File>>,
     last_open_attempt: Cell<Option<Instant>>,
-    /// Offsets of the references that were accepted without a lock while no other process could be running.
-    unlocked: RefCell<BTreeSet<i64>>,
+    /// Offsets of the references that this process has. All are locked, except where no other process could be running when one was
+    /// accepted without the file.
+    offsets: RefCell<BTreeSet<i64>>,
     /// Whether another process of the dispatcher may be running.
     may_have_sibling: Box<dyn Fn() -> bool>,
 }
@@ -56,7 +60,7 @@
 
 impl ReferenceLocks {
     /// The locks of the processes that accept from the same inherited socket and have the same directory. If the file can't be
-    /// opened now, that is tried again until it succeeds.
+    /// opened now, or is removed later, that is tried again until it succeeds.
     ///
     /// # Errors
     /// `socket` is not an open descriptor.
@@ -71,13 +75,13 @@
             path: directory.join(format!("references-{inode}.lock")),
             file: RefCell::default(),
             last_open_attempt: Cell::default(),
-            unlocked: RefCell::default(),
+            offsets: RefCell::default(),
             may_have_sibling,
         });
         if let Err(e) = locks.ensure_open() {
             warn!(path = %locks.path.display(), error = %e, "siblings: can't open the file for locks on references; retrying");
-            actix_rt::spawn(locks.clone().retry_opening());
         }
+        actix_rt::spawn(keep_open(Rc::downgrade(&locks)));
         Ok(locks)
     }
 
@@ -91,19 +95,22 @@
             Ok(()) => {}
             Err(e) if is_held(&e) => return Err(LockError::Held),
             Err(e) if (self.may_have_sibling)() => return Err(LockError::Unavailable(e)),
-            Err(_) => drop(self.unlocked.borrow_mut().insert(offset)),
+            Err(_) => {}
         }
+        self.offsets.borrow_mut().insert(offset);
         Ok(ReferenceLock { locks: self.clone(), offset })
     }
 
-    /// Retries opening until it succeeds. If dropped, the next call of [`ReferenceLocks::lock`] tries it.
-    async fn retry_opening(self: Rc<Self>) {
-        while self.ensure_open().is_err() {
-            tokio::time::sleep(OPEN_RETRY_INTERVAL).await;
+    /// Whether the file that is open is not the one that other processes open, because somebody has removed it.
+    fn is_removed(&self) -> bool {
+        let Some(Ok(open)) = self.file.borrow().as_ref().map(File::metadata) else { return false };
+        match fs::metadata(&self.path) {
+            Ok(named) => (named.dev(), named.ino()) != (open.dev(), open.ino()),
+            Err(e) => e.kind() == io::ErrorKind::NotFound,
         }
     }
 
-    /// Opens the file unless it is open, and locks what was accepted without it.
+    /// Opens the file unless it is open, and locks what this process has.
     fn ensure_open(&self) -> io::Result<()> {
         if self.file.borrow().is_some() {
             return Ok(());
@@ -112,17 +119,35 @@
             return Err(io::ErrorKind::NotFound.into());
         }
         self.last_open_attempt.set(Some(Instant::now()));
+        self.open_file()
+    }
+
+    /// Opens the file, which replaces one that is open, and locks what this process has.
+    fn open_file(&self) -> io::Result<()> {
         self.path.parent().map_or(Ok(()), fs::create_dir_all)?;
         let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&self.path)?;
         *self.file.borrow_mut() = Some(file);
-        let unlocked = std::mem::take(&mut *self.unlocked.borrow_mut());
-        let failed = unlocked.iter().filter(|offset| self.set(**offset, libc::F_WRLCK).is_err()).count();
-        info!(path = %self.path.display(), locked = unlocked.len(), failed, "siblings: references are locked");
+        let offsets = self.offsets.borrow();
+        let failed = offsets.iter().filter(|offset| self.set(**offset, libc::F_WRLCK).is_err()).count();
+        info!(path = %self.path.display(), locked = offsets.len(), failed, "siblings: references are locked");
         Ok(())
     }
 
+    /// Retries opening the file while that fails, and opens the one that other processes open if it was removed. Until then the
+    /// locks on the removed file are kept.
+    fn check_file(&self) {
+        if !self.is_removed() {
+            // It is tried again at the next check.
+            let _ = self.ensure_open();
+            return;
+        }
+        let opened = self.open_file();
+        warn!(path = %self.path.display(), ?opened, "siblings: the file for locks on references was removed");
+    }
+
     fn release(&self, offset: i64) {
-        if self.unlocked.borrow_mut().remove(&offset) {
+        self.offsets.borrow_mut().remove(&offset);
+        if self.file.borrow().is_none() {
             return;
         }
         if let Err(e) = self.set(offset, libc::F_UNLCK) {
@@ -151,6 +176,16 @@
     }
 }
 
+/// Checks the file from time to time, as long as there are locks. If dropped, the next call of [`ReferenceLocks::lock`] tries to open
+/// a file that is not open, and it is not noticed that one was removed.
+async fn keep_open(locks: Weak<ReferenceLocks>) {
+    while let Some(locks) = locks.upgrade() {
+        locks.check_file();
+        drop(locks);
+        tokio::time::sleep(FILE_CHECK_INTERVAL).await;
+    }
+}
+
 impl Drop for ReferenceLock {
     fn drop(&mut self) {
         self.locks.release(self.offset);
--- a/dispatcher/src/siblings/reference_locks/tests.rs
+++ b/dispatcher/src/siblings/reference_locks/tests.rs
@@ -66,3 +66,23 @@
         let _ = fs::remove_dir_all(directory);
     });
 }
+
+/// Guards against locks that nobody sees: the file is removed while a process runs, and the next process makes another.
+#[test]
+fn references_stay_locked_when_the_file_is_removed() {
+    actix_rt::System::new().block_on(async {
+        let (socket, directory) = set_up();
+        let yes = Rc::new(Cell::new(true));
+        let locks = open(&socket, &directory, &yes);
+        let (kept, ended) = (locks.lock("a").expect("free"), locks.lock("b").expect("free"));
+        fs::remove_dir_all(&directory).expect("a directory");
+        drop(ended);
+        tokio::time::sleep(FILE_CHECK_INTERVAL * 2).await;
+        let other = open(&socket, &directory, &yes);
+        assert!(matches!(other.lock("a"), Err(LockError::Held)));
+        assert!(other.lock("b").is_ok());
+        drop(kept);
+        assert!(other.lock("a").is_ok());
+        let _ = fs::remove_dir_all(directory);
+    });
+}
