Tests: memory of a mixed crowd, and of streamed results that are not taken

Rows that were left to reading: each client does another thing, beside half puts and half calls of siblings, and plain results on a route that streams.

--- a/dispatcher/tests/memory.rs
+++ b/dispatcher/tests/memory.rs
@@ -62,14 +62,52 @@
     PlainResultNotTaken,
     /// Half a body, beside large results of plain HTTP workers that stop before their end.
     HalfPlainResults,
+    /// Takes nothing of a large result that is streamed.
+    StreamedResultNotTaken,
+    /// Each client does one of [`MIXED`], beside half a `put` and half a sibling's call on each connection of those listeners.
+    Mixed,
 }
 
+/// What the clients of a mixed crowd do.
+const MIXED: [CrowdBehaviour; 8] = [
+    CrowdBehaviour::HalfChunk,
+    CrowdBehaviour::LongHead,
+    CrowdBehaviour::HalfStream,
+    CrowdBehaviour::ResultNotTaken,
+    CrowdBehaviour::HalfBody,
+    CrowdBehaviour::PipelinedRequests,
+    CrowdBehaviour::HalfRouteBody,
+    CrowdBehaviour::HalfBodyInTinyChunks,
+];
+
 impl CrowdBehaviour {
+    /// What one client of the crowd does.
+    fn of_client(self, number: usize) -> CrowdBehaviour {
+        match self {
+            CrowdBehaviour::Mixed => MIXED[number % MIXED.len()],
+            same => same,
+        }
+    }
+
+    fn takes_no_result(self) -> bool {
+        matches!(
+            self,
+            CrowdBehaviour::ResultNotTaken
+                | CrowdBehaviour::PlainResultNotTaken
+                | CrowdBehaviour::StreamedResultNotTaken
+        )
+    }
+
     fn operator(self) -> Option<&'static str> {
         match self {
             CrowdBehaviour::PlainResultNotTaken | CrowdBehaviour::HalfPlainResults => {
                 Some(r#"{"workers":[{"kind":"m","protocol":"http"}]}"#)
             }
+            CrowdBehaviour::StreamedResultNotTaken => Some(
+                r#"{"workers":[{"kind":"m","protocol":"http"}],
+                "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"m"}],
+                "routes":[{"path":"/web","match":"prefix","class":"page","stream":true}]}"#,
+            ),
             CrowdBehaviour::HalfRouteBody => Some(
                 r#"{"workers":[{"kind":"other","protocol":"http"}],
                 "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"other"}],
@@ -80,6 +118,13 @@
                 "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"other"}],
                 "routes":[{"path":"/web","match":"prefix","class":"page","stream":true}]}"#,
             ),
+            CrowdBehaviour::Mixed => Some(
+                r#"{"workers":[{"kind":"other","protocol":"http"}],
+                "classes":[{"name":"page","aim_ms":500,"deadline_ms":8000,"effect":"once","kind":"other"}],
+                "routes":[{"path":"/web","match":"prefix","class":"page","stream":true}],
+                "beanstalkd":{"listen":"127.0.0.1:0",
+                "tubes":[{"tube":"default","class":"order","answers":"out"}]}}"#,
+            ),
             CrowdBehaviour::HalfPut => Some(
                 r#"{"beanstalkd":{"listen":"127.0.0.1:0",
                 "tubes":[{"tube":"default","class":"order","answers":"out"}]}}"#,
@@ -90,9 +135,11 @@
 
     fn workers(self) -> WorkerBehaviour {
         match self {
-            CrowdBehaviour::ResultNotTaken => WorkerBehaviour::ServesLargeResults,
+            CrowdBehaviour::ResultNotTaken | CrowdBehaviour::Mixed => WorkerBehaviour::ServesLargeResults,
             CrowdBehaviour::HalfPlainResults => WorkerBehaviour::StopsInResults,
-            CrowdBehaviour::PlainResultNotTaken => WorkerBehaviour::RespondsWithLargeResults,
+            CrowdBehaviour::PlainResultNotTaken | CrowdBehaviour::StreamedResultNotTaken => {
+                WorkerBehaviour::RespondsWithLargeResults
+            }
             _ => WorkerBehaviour::Serves,
         }
     }
@@ -110,6 +157,7 @@
             CrowdBehaviour::HalfCall => "/_jobs/news",
             CrowdBehaviour::HalfRouteBody
             | CrowdBehaviour::HalfStream
+            | CrowdBehaviour::StreamedResultNotTaken
             | CrowdBehaviour::HalfStreamInTinyChunks => "/web/a",
             _ => "/api",
         };
@@ -122,9 +170,7 @@
                 (format!("Transfer-Encoding: chunked\r\n\r\n{PART_OF_BODY:x}\r\n"), PART_OF_BODY)
             }
             CrowdBehaviour::WholeBody => (format!("Content-Length: {PART_OF_BODY}\r\n\r\n"), PART_OF_BODY),
-            CrowdBehaviour::ResultNotTaken | CrowdBehaviour::PlainResultNotTaken => {
-                ("Content-Length: 4\r\n\r\nwork".into(), 0)
-            }
+            same if same.takes_no_result() => ("Content-Length: 4\r\n\r\nwork".into(), 0),
             CrowdBehaviour::HalfPlainResults if number < HALF_RESULTS => {
                 ("Content-Length: 4\r\n\r\nwork".into(), 0)
             }
@@ -145,14 +191,15 @@
     }
 
     fn connect(self, addr: SocketAddr, number: usize) -> Option<TcpStream> {
+        let behaviour = self.of_client(number);
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
-        if matches!(self, CrowdBehaviour::ResultNotTaken | CrowdBehaviour::PlainResultNotTaken) {
+        if behaviour.takes_no_result() {
             socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).ok()?;
         }
         socket.connect(&addr.into()).ok()?;
         let mut stream = TcpStream::from(socket);
         stream.set_write_timeout(Some(CROWD_STAYS)).ok()?;
-        let _ = stream.write_all(&self.request(number));
+        let _ = stream.write_all(&behaviour.request(number));
         Some(stream)
     }
 }
@@ -217,16 +264,17 @@
     (0..count).map(connect).collect()
 }
 
-/// Half a `put` or half a sibling's call on as many connections as the listener in question has.
+/// Half a `put` and half a sibling's call, as far as they belong to the crowd, on as many connections as the listener in question has.
 fn start_others(behaviour: CrowdBehaviour, process: &Process) -> Vec<TcpStream> {
     let partial = |command: &str| (command.to_owned() + &"x".repeat(PART_OF_BODY)).into_bytes();
-    match (behaviour, process.rig.beanstalkd_addr) {
-        (CrowdBehaviour::HalfSiblingCall, _) => {
-            start_partial_commands(process.console, 48, &partial("sibling "))
-        }
-        (_, Some(addr)) => start_partial_commands(addr, 64, &partial("put 0 0 60 65535\r\n")),
-        (_, None) => Vec::new(),
+    let mut others = Vec::new();
+    if matches!(behaviour, CrowdBehaviour::HalfSiblingCall | CrowdBehaviour::Mixed) {
+        others = start_partial_commands(process.console, 48, &partial("sibling "));
+    }
+    if let Some(addr) = process.rig.beanstalkd_addr {
+        others.extend(start_partial_commands(addr, 64, &partial("put 0 0 60 65535\r\n")));
     }
+    others
 }
 
 /// Sends jobs, each on a connection of its own, until one is served.
@@ -266,7 +314,9 @@
         CrowdBehaviour::HalfStreamInTinyChunks,
         CrowdBehaviour::PipelinedRequests,
         CrowdBehaviour::PlainResultNotTaken,
-        CrowdBehaviour::HalfPlainResults
+        CrowdBehaviour::HalfPlainResults,
+        CrowdBehaviour::StreamedResultNotTaken,
+        CrowdBehaviour::Mixed
     )]
     behaviour: CrowdBehaviour,
 ) {
