No more is read of a body than there is memory for

Cause: how much is read of a body did not depend on its memory. Of a chunked body with 4 KiB leased 8 KiB were read, and a streamed body was read on into the HTTP library's queue (32 KiB) while its stream had no room.

Change: reads are limited to the room that there is, 1 KiB at least, and a connection whose stream has none is not read.

--- a/dispatcher/src/listeners/connection_slots.rs
+++ b/dispatcher/src/listeners/connection_slots.rs
@@ -93,6 +93,8 @@
     unread_since: Cell<Option<Instant>>,
     /// Earliest time at which the bytes read last may have arrived.
     arrived: Cell<Instant>,
+    /// A streamed body has no room.
+    reads_paused: Cell<bool>,
     arrivals: Rc<ArrivalClock>,
 }
 
@@ -124,9 +126,18 @@
         }
     }
 
+            self.reads_paused.set(false);
     /// Whether data that arrives now stays in the kernel.
     pub fn leaves_data_unread(&self) -> bool {
-        matches!(self.stage.get(), Stage::Processing | Stage::AwaitingMemory)
+        matches!(self.stage.get(), Stage::Processing | Stage::AwaitingMemory) || self.reads_paused.get()
+    }
+
+    /// Leaves what arrives in the kernel while a streamed body has no room, or reads on.
+    pub fn pause_reads(&self, is_paused: bool) {
+        self.reads_paused.set(is_paused);
+        if !self.leaves_data_unread() {
+            self.reader.take().map(Waker::wake).unwrap_or_default();
+        }
     }
 
     /// Bytes that may be read until the server has processed them.
@@ -134,15 +145,17 @@
         self.read_limit.get()
     }
 
-    /// Limits reads while a body is received of which `left` bytes are left, if that is known, and `last_chunk` were received last.
-    /// No more is read than belongs to the body, and little of a body in small chunks.
-    pub fn limit_body_reads(&self, left: Option<u64>, last_chunk: usize) {
+    /// Limits reads while a body is received of which `left` bytes are left, if that is known, and `last_chunk` were received last, when
+    /// there is memory for `room` more bytes. No more is read than belongs to the body, little of a body in small chunks, and little
+    /// beyond the memory that there is.
+    pub fn limit_body_reads(&self, left: Option<u64>, last_chunk: usize, room: usize) {
+        let with_room = room.clamp(MAX_UNDELIMITED_BYTES_PER_READ, MAX_BYTES_PER_READ);
         let limit = match left {
-            Some(left) => usize::try_from(left).unwrap_or(usize::MAX).clamp(1, MAX_BYTES_PER_READ),
-            None if last_chunk >= LARGE_CHUNK_BYTES => MAX_BYTES_PER_READ,
+            Some(left) => usize::try_from(left).unwrap_or(usize::MAX).min(with_room),
+            None if last_chunk >= LARGE_CHUNK_BYTES => with_room,
             None => MAX_UNDELIMITED_BYTES_PER_READ,
         };
-        self.read_limit.set(limit);
+        self.read_limit.set(limit.max(1));
     }
 
     /// Records the bytes that are leased for the request that is being received.
@@ -422,6 +435,7 @@
             for slot in self.occupied.borrow().values() {
                 let within = match slot.stage.get() {
                     Stage::Silent => FIRST_BYTE_TIMEOUT,
+            reads_paused: Cell::new(false),
                     Stage::Head => REQUEST_TIMEOUT,
                     _ => continue,
                 };
--- a/dispatcher/src/listeners/connection_slots/tests.rs
+++ b/dispatcher/src/listeners/connection_slots/tests.rs
@@ -67,3 +67,34 @@
     slots.reclaim(10_000);
     assert_eq!(aborted(), [true, true, false, false, true, true, false]);
 }
+
+fn slot() -> Rc<ConnectionSlot> {
+    let slots = ConnectionSlots::new(1, Rc::new(ArrivalClock::new(Instant::now())));
+    let occupied = slots.acquire().expect("a slot");
+    occupied.slot.clone()
+}
+
+/// Guards against bytes that are read although there is no memory for them: a crowd of chunked bodies read 8 KiB each beyond its
+/// leases, and the server read 32 KiB ahead of each stream without room.
+#[test]
+fn little_is_read_beyond_the_memory_that_there_is() {
+    let slot = slot();
+    let limit = |left, last_chunk, room| {
+        slot.limit_body_reads(left, last_chunk, room);
+        slot.read_limit()
+    };
+    assert_eq!(limit(None, 5_000, 3_000), 3_000);
+    assert_eq!(limit(None, 5_000, 0), MAX_UNDELIMITED_BYTES_PER_READ);
+    assert_eq!(limit(Some(60_000), 5_000, 2_000), 2_000);
+    assert_eq!(limit(Some(60_000), 5_000, usize::MAX), MAX_BYTES_PER_READ);
+    assert_eq!(limit(Some(10), 5_000, 2_000), 10);
+    slot.set_stage(Stage::Streaming);
+    slot.pause_reads(true);
+    assert!(slot.leaves_data_unread());
+    slot.pause_reads(false);
+    assert!(!slot.leaves_data_unread());
+    // The next request on the connection is read, whatever became of the body of this one.
+    slot.pause_reads(true);
+    slot.set_stage(Stage::Idle);
+    assert!(!slot.leaves_data_unread());
+}
--- a/dispatcher/src/listeners/pass.rs
+++ b/dispatcher/src/listeners/pass.rs
@@ -11,7 +11,7 @@
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{header as actix_header, HttpMessage, Request, Response, StatusCode};
 use bytes::Bytes;
-use futures_util::StreamExt;
+use futures_util::{FutureExt, StreamExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use lineroute_http1::{strip_hop_by_hop_headers, Framing, RequestHead, ResponseHead};
 use std::cell::{Cell, RefCell};
@@ -198,23 +198,29 @@
 }
 
 impl BodyPump {
-    /// Limits what is read next, when a chunk of this size was received.
-    fn limit_reads(&mut self, chunk: usize) {
-        self.declared_left = self.declared_left.map(|left| left.saturating_sub(chunk as u64));
-        self.slot.iter().for_each(|slot| slot.limit_body_reads(self.declared_left, chunk));
+    /// Waits for room in the stream; `None` if nobody reads it any more. Until there is some, nothing is read from the connection.
+    async fn room(&self) -> Option<usize> {
+        if let Some(room) = self.writer.room().now_or_never() {
+            return room;
+        }
+        self.slot.iter().for_each(|slot| slot.pause_reads(true));
+        let room = self.writer.room().await;
+        self.slot.iter().for_each(|slot| slot.pause_reads(false));
+        room
     }
 
     /// Returns at the end of the body, or when nobody reads the stream any more. Dropped earlier, it marks the stream as broken.
     async fn run(mut self, mut payload: actix_http::Payload) {
-        self.limit_reads(0);
+        let mut last_chunk = 0;
         let ended = loop {
-            if self.writer.room().await.is_none() {
-                break StreamEnd::Truncated;
-            }
+            let Some(room) = self.room().await else { break StreamEnd::Truncated };
+            self.slot.iter().for_each(|slot| slot.limit_body_reads(self.declared_left, last_chunk, room));
             match payload.next().await {
                 Some(Ok(chunk)) if chunk.len() as u64 <= self.left => {
-                    self.left -= chunk.len() as u64;
-                    self.limit_reads(chunk.len());
+                    last_chunk = chunk.len();
+                    self.left -= last_chunk as u64;
+                    self.declared_left =
+                        self.declared_left.map(|left| left.saturating_sub(last_chunk as u64));
                     self.writer.push(chunk);
                 }
                 Some(Ok(_)) => {
--- a/dispatcher/src/listeners/request_body.rs
+++ b/dispatcher/src/listeners/request_body.rs
@@ -64,12 +64,11 @@
     let read = async {
         let first = declared.map_or(SMALL_REQUEST_BYTES, |length| length as usize);
         lease(&mut body, first, slot, memory, sender).await?;
-        slot.into_iter().for_each(|slot| slot.limit_body_reads(declared, 0));
+        slot.into_iter().for_each(|slot| slot.limit_body_reads(declared, 0, body.leased()));
         while let Some(chunk) = payload.next().await {
             let chunk = chunk.map_err(|_| BodyError::Broken)?;
             let length = body.len() + chunk.len();
             let left = declared.map(|declared| declared.saturating_sub(length as u64));
-            slot.into_iter().for_each(|slot| slot.limit_body_reads(left, chunk.len()));
             if length > MAX_BODY {
                 return Err(BodyError::TooLarge);
             }
@@ -77,6 +76,8 @@
                 lease(&mut body, bytes, slot, memory, sender).await?;
             }
             body.push(&chunk);
+            let room = body.leased() - body.len();
+            slot.into_iter().for_each(|slot| slot.limit_body_reads(left, chunk.len(), room));
         }
         Ok(())
     };
