The HTTP library holds 8 KiB of a response that is not taken

Callers saw nothing by this alone.

Cause: it asks for pieces until it holds 32 KiB, whether or not the socket takes any. Change: the next piece waits while 8 KiB are handed over and not written.

--- a/dispatcher/src/listeners/connection_slots.rs
+++ b/dispatcher/src/listeners/connection_slots.rs
@@ -8,7 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::task::Waker;
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tracing::info;
@@ -30,6 +30,9 @@
 /// A chunk of at least this size is followed by larger reads.
 const LARGE_CHUNK_BYTES: usize = 512;
 
+/// Bytes of a response body that the server may hold in its buffer before the socket takes some. By itself it would hold 40 KiB.
+const MAX_UNSENT_BYTES: usize = 8 << 10;
+
 /// The stage of a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
@@ -83,18 +86,21 @@
     leased_for_buffers: Cell<usize>,
     /// Bytes of the response in progress that were not handed over to the socket yet; `None` if there is none.
     response_left: Cell<Option<usize>>,
+    /// Bytes of response bodies that the server holds in its buffer, and the task that gives it more.
+    unsent: Cell<usize>,
+    response_task: Cell<Option<Waker>>,
     abort: Cell<Option<AbortCause>>,
     aborted: Notify,
     /// Bytes that may be read until the server has processed them.
     read_limit: Cell<usize>,
+    /// A streamed body has no room.
+    reads_paused: Cell<bool>,
     /// The task that continues reading once the current request is answered.
     reader: Cell<Option<Waker>>,
     /// Since when there may be unread bytes; `None` if there were none at the last check.
     unread_since: Cell<Option<Instant>>,
     /// Earliest time at which the bytes read last may have arrived.
     arrived: Cell<Instant>,
-    /// A streamed body has no room.
-    reads_paused: Cell<bool>,
     arrivals: Rc<ArrivalClock>,
 }
 
@@ -120,13 +126,13 @@
         self.answered.set(self.answered.get() || stage == Stage::Idle);
         if matches!(stage, Stage::Idle | Stage::Closing) {
             self.read_limit.set(MAX_UNDELIMITED_BYTES_PER_READ);
+            self.reads_paused.set(false);
         }
         if !self.leaves_data_unread() {
             self.reader.take().map(Waker::wake).unwrap_or_default();
         }
     }
 
-            self.reads_paused.set(false);
     /// Whether data that arrives now stays in the kernel.
     pub fn leaves_data_unread(&self) -> bool {
         matches!(self.stage.get(), Stage::Processing | Stage::AwaitingMemory) || self.reads_paused.get()
@@ -177,6 +183,26 @@
         self.leased_since.set(Instant::now());
     }
 
+    /// Whether the server may be given more of a response body: not while it holds [`MAX_UNSENT_BYTES`] that the socket has not taken.
+    pub fn poll_response_room(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.unsent.get() < MAX_UNSENT_BYTES {
+            return Poll::Ready(());
+        }
+        self.response_task.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    /// Records that the server was given bytes of a response body.
+    pub fn response_bytes_given(&self, bytes: usize) {
+        self.unsent.set(self.unsent.get() + bytes);
+    }
+
+    /// Records that the socket has taken bytes, of a response body or around it.
+    pub fn bytes_sent(&self, bytes: usize) {
+        self.unsent.set(self.unsent.get().saturating_sub(bytes));
+        self.response_task.take().map(Waker::wake).unwrap_or_default();
+    }
+
     /// Records that no response is in progress any more.
     pub fn response_ended(&self) {
         self.response_left.set(None);
@@ -405,8 +431,11 @@
             leased_since: Cell::new(now),
             leased_for_buffers: Cell::new(0),
             response_left: Cell::new(None),
+            unsent: Cell::new(0),
+            response_task: Cell::new(None),
             abort: Cell::new(None),
             aborted: Notify::new(),
+            reads_paused: Cell::new(false),
             reader: Cell::new(None),
             unread_since: Cell::new(None),
             arrived: Cell::new(now),
@@ -435,7 +464,6 @@
             for slot in self.occupied.borrow().values() {
                 let within = match slot.stage.get() {
                     Stage::Silent => FIRST_BYTE_TIMEOUT,
-            reads_paused: Cell::new(false),
                     Stage::Head => REQUEST_TIMEOUT,
                     _ => continue,
                 };
--- a/dispatcher/src/listeners/connection_slots/tests.rs
+++ b/dispatcher/src/listeners/connection_slots/tests.rs
@@ -98,3 +98,19 @@
     slot.set_stage(Stage::Idle);
     assert!(!slot.leaves_data_unread());
 }
+
+/// Guards against responses that the server holds a second time for clients that take nothing of them, 40 KiB each.
+#[test]
+fn a_response_body_waits_until_the_socket_has_taken_some() {
+    let slot = slot();
+    let mut context = Context::from_waker(Waker::noop());
+    assert!(slot.poll_response_room(&mut context).is_ready());
+    slot.response_bytes_given(MAX_UNSENT_BYTES);
+    assert!(slot.poll_response_room(&mut context).is_pending());
+    slot.bytes_sent(1);
+    assert!(slot.poll_response_room(&mut context).is_ready());
+    // Heads are sent as well, and were not counted.
+    slot.bytes_sent(2 * MAX_UNSENT_BYTES);
+    slot.response_bytes_given(MAX_UNSENT_BYTES - 1);
+    assert!(slot.poll_response_room(&mut context).is_ready());
+}
--- a/dispatcher/src/listeners/guard.rs
+++ b/dispatcher/src/listeners/guard.rs
@@ -255,7 +255,10 @@
             ready!(self.stream().poll_write_ready(cx))?;
             match self.stream().try_write(buf) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    self.slot.bytes_sent(written.as_ref().copied().unwrap_or(0));
+                    return Poll::Ready(written);
+                }
             }
         }
     }
--- a/dispatcher/src/listeners/pass.rs
+++ b/dispatcher/src/listeners/pass.rs
@@ -18,7 +18,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Instant;
 
 /// Body of a proxied response. If it breaks off, the connection is closed, so that the client can tell it is incomplete.
@@ -44,7 +44,13 @@
     }
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
+        if let Some(slot) = &self.slot {
+            ready!(slot.poll_response_room(cx));
+        }
         let next = self.reader.poll_next(cx);
+        if let (Some(slot), Poll::Ready(Ok(bytes))) = (&self.slot, &next) {
+            slot.response_bytes_given(bytes.len());
+        }
         if next == Poll::Ready(Err(StreamEnd::Truncated)) && !std::mem::replace(&mut self.broken, true) {
             // On `Pending` the server flushes its buffer; on an error it discards it. So the first poll after the break
             // returns `Pending`, and the error is reported with the next.
--- a/dispatcher/src/listeners/response_body.rs
+++ b/dispatcher/src/listeners/response_body.rs
@@ -9,7 +9,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 /// The rest of a body, and the connection that it is sent on.
 struct PiecewiseBody {
@@ -31,9 +31,12 @@
         self.rest.size()
     }
 
-    fn poll_next(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, Infallible>>> {
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Infallible>>> {
+        ready!(self.slot.poll_response_room(cx));
         self.slot.response_progressed(self.rest.0.len());
-        Poll::Ready(self.rest.take_next().map(Ok))
+        let piece = self.rest.take_next();
+        self.slot.response_bytes_given(piece.as_ref().map_or(0, Bytes::len));
+        Poll::Ready(piece.map(Ok))
     }
 }
 
