The program itself has a part of 3 MB in the memory limit

Cause: the program had a sixteenth, 1 MB with 16 MB; what it takes by itself does not shrink with the limit. Change: 3 MB at least, from the part of client connections (160 in place of 224 with 16 MB, 416 in place of 448 with 32 MB, others as before).

Evidence: the_program_itself_has_memory_under_each_limit failed before and passes.

--- a/dispatcher/src/config/memory.rs
+++ b/dispatcher/src/config/memory.rs
@@ -12,6 +12,9 @@
 const ADMIN_CONNECTION_BYTES: usize = 160 << 10;
 /// Memory of a connection of the admin console without leases.
 const CONSOLE_CONNECTION_BYTES: usize = 4 << 10;
+/// What the program takes under any limit: its own data, memory that the allocator does not reuse at once, and connections that are
+/// being closed while others have their slots.
+const MIN_PROCESS_BYTES: usize = 3 << 20;
 /// Parts of the limit, in sixteenths.
 const SIXTEENTHS: usize = 16;
 const PROCESS_SIXTEENTHS: usize = 1;
@@ -63,10 +66,12 @@
         let users = usize::from(has_streams) + usize::from(has_beanstalkd);
         let for_each_user = part(STREAMS_AND_BEANSTALKD_SIXTEENTHS) / users.max(1);
         let if_used = |is_used: bool| if is_used { for_each_user } else { 0 };
+        let process = part(PROCESS_SIXTEENTHS).max(MIN_PROCESS_BYTES);
+        let taken_from_connections = process - part(PROCESS_SIXTEENTHS);
         MemoryPlan {
             limit,
-            process: part(PROCESS_SIXTEENTHS),
-            client_connections: part(CLIENT_CONNECTIONS_SIXTEENTHS),
+            process,
+            client_connections: part(CLIENT_CONNECTIONS_SIXTEENTHS).saturating_sub(taken_from_connections),
             worker_connections: part(WORKER_CONNECTIONS_SIXTEENTHS),
             requests: part(REQUESTS_SIXTEENTHS),
             streams: if_used(has_streams),
--- a/dispatcher/src/config/memory/tests.rs
+++ b/dispatcher/src/config/memory/tests.rs
@@ -32,3 +32,15 @@
     );
     assert!(plan.max_worker_connections() >= 360, "{plan:?}");
 }
+
+/// Guards against a program whose own needs are in no part where the limit is small: parts that were all in use then took a
+/// process with 16 MB over it.
+#[test]
+fn the_program_itself_has_memory_under_each_limit() {
+    for limit in [16, 32, 48, 192].map(|megabytes: usize| megabytes << 20) {
+        let plan = MemoryPlan::new(limit, true, true);
+        assert!(plan.process >= 3 << 20, "{plan:?}");
+        let slots = plan.max_client_connections(OtherConnections::default());
+        assert!(slots >= 150, "{slots} slots: {plan:?}");
+    }
+}
--- a/dispatcher/tests/memory.rs
+++ b/dispatcher/tests/memory.rs
@@ -334,6 +334,14 @@
     check_crowd(CrowdBehaviour::HalfBody, limits);
 }
 
+/// Guards against parts of the memory that fit into it one by one but not together: each behaviour fills another part.
+#[rstest]
+fn a_mixed_crowd_keeps_to_each_memory_limit(
+    #[values((16, 256), (32, 1024), (48, 1024), (192, 1024))] limits: (u64, usize),
+) {
+    check_crowd(CrowdBehaviour::Mixed, limits);
+}
+
 fn check_crowd(behaviour: CrowdBehaviour, (memory_mb, sockets): (u64, usize)) {
     let _alone = ONE_CROWD.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let settings = SETTINGS.replace(r#""most_held": 50"#, r#""most_held": 20000"#);
