A worker's answer in a shared tube goes to the process that has the job

Cause: both processes read the answers tube, which is named after the dispatcher, and each deleted what it had no job for.

Change: an answer without a job here is offered to the siblings, as job status updates are, and deleted once one has accepted it or nobody can have it; where that can't be asked it is released. An answer that comes before its job's id is known waits for that. It works because the server keeps an answer until its owner has it.

--- a/dispatcher/src/admin/calls.rs
+++ b/dispatcher/src/admin/calls.rs
@@ -13,6 +13,7 @@
 use crate::overrides::{now, Overrides};
 use crate::siblings::Siblings;
 use crate::targets::http::HttpTargets;
+use crate::targets::shared_tubes::SharedTubes;
 use crate::{fleet, peers, store};
 use actix_http::{Method, StatusCode};
 use lineroute_control::overrides::{Effect, InvalidRequest, OverrideRequest, Scope, Slot, Stamp};
@@ -39,6 +40,7 @@
     pub classes: Vec<String>,
     pub flows: Flows,
     pub targets: HttpTargets,
+    pub tubes: SharedTubes,
     pub budgets: StreamBudget,
     /// Memory for requests and results.
     pub memory: Rc<MemoryBudget>,
--- a/dispatcher/src/admin/console.rs
+++ b/dispatcher/src/admin/console.rs
@@ -137,6 +137,7 @@
     let context = ProcessContext {
         overrides: &calls.overrides,
         targets: &calls.targets,
+        tubes: &calls.tubes,
         memory: &calls.memory,
         is_up: calls.lifecycle.is_ready(),
     };
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -46,6 +46,7 @@
 use overrides::Overrides;
 use peers::discovery_reports::DiscoveryReports;
 use rustc_hash::FxHashMap;
+use siblings::answers::SiblingAnswers;
 use siblings::reference_locks::ReferenceLocks;
 use siblings::Siblings;
 use std::cell::{Cell, OnceCell};
@@ -59,6 +60,7 @@
 use targets::beanstalkd::BeanstalkdTargets;
 use targets::client::{ClientLimits, HttpClient};
 use targets::http::HttpTargets;
+use targets::shared_tubes::SharedTubes;
 use targets::upstream::{UpstreamLimits, Upstreams};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -138,15 +140,8 @@
 
 /// Starts the subsystems around overrides that the configuration enables. The admin console is started later, once clients
 /// are served, since its `health` command reports that the process is ready.
-async fn start_control(
-    config: &mut Config,
-    flows: &Flows,
-    targets: &HttpTargets,
-    budgets: &StreamBudget,
-    memory: &Rc<MemoryBudget>,
-    reports: &Rc<DiscoveryReports>,
-    lifecycle: &Rc<ListenerLifecycle>,
-) -> Result<Started, String> {
+async fn start_control(config: &mut Config, parts: ControlParts) -> Result<Started, String> {
+    let ControlParts { flows, targets, tubes, budgets, memory, reports, lifecycle } = parts;
     let (classes, tenants) = (config.platform.classes.clone(), config.platform.tenants.clone());
     let fleet = match config.fleet.take() {
         Some(fleet) => Some(fleet::start(fleet, flows.clone()).await?),
@@ -183,21 +178,21 @@
         (Some(dir), Some(console)) => Some(Siblings::new(dir.path(), console)?),
         _ => None,
     };
-    let (dispatcher, flows, longest) = (config.name.clone(), flows.clone(), config.max_override_ms);
-    let (budgets, peer) = (budgets.clone(), peers.clone());
+    let (dispatcher, longest, peer) = (config.name.clone(), config.max_override_ms, peers.clone());
     let calls = admin::AdminService {
         dispatcher,
         classes,
         flows,
-        targets: targets.clone(),
+        targets,
+        tubes,
         budgets,
-        memory: memory.clone(),
+        memory,
         overrides,
         peers: peer,
         store,
         fleet: fleet.clone(),
         siblings,
-        lifecycle: lifecycle.clone(),
+        lifecycle,
         max_override_ms: longest,
     };
     let calls = Rc::new(calls);
@@ -208,6 +203,17 @@
     Ok(Started { reload_handles: ReloadHandles { peers, admin, fleet }, calls: Some(calls) })
 }
 
+/// What the subsystems around overrides work with.
+struct ControlParts {
+    flows: Flows,
+    targets: HttpTargets,
+    tubes: SharedTubes,
+    budgets: StreamBudget,
+    memory: Rc<MemoryBudget>,
+    reports: Rc<DiscoveryReports>,
+    lifecycle: Rc<ListenerLifecycle>,
+}
+
 /// The subsystems that [`start_control`] has started.
 #[derive(Default)]
 struct Started {
@@ -266,9 +272,17 @@
     let targets = HttpTargets::new(flows.clone(), client.clone(), connect_timeout, reports);
     flows.add_target(Rc::new(targets.clone()));
     let mut transports = FxHashMap::default();
+    let tubes = SharedTubes::default();
     for workers in &config.beanstalkd_workers {
-        let transport =
-            BeanstalkdTargets::new(flows.clone(), workers, &config.name, connect_timeout, memory.clone());
+        let transport = BeanstalkdTargets::new(
+            flows.clone(),
+            workers,
+            &config.name,
+            connect_timeout,
+            memory.clone(),
+            tubes.clone(),
+        );
+        tubes.add(transport.clone());
         transports.insert(workers.kind.clone(), flows.add_target(Rc::new(transport)));
     }
     for workers in &config.http_workers {
@@ -287,9 +301,16 @@
     }
     let shared = config.inherited_fd.is_some();
     let lifecycle = Rc::new(ListenerLifecycle::new(monitor.clone(), shared));
-    let Started { reload_handles: handles, calls } =
-        start_control(&mut config, &flows, &targets, &budgets, &memory, &discovery_reports, &lifecycle)
-            .await?;
+    let parts = ControlParts {
+        flows: flows.clone(),
+        targets: targets.clone(),
+        tubes: tubes.clone(),
+        budgets: budgets.clone(),
+        memory: memory.clone(),
+        reports: discovery_reports.clone(),
+        lifecycle: lifecycle.clone(),
+    };
+    let Started { reload_handles: handles, calls } = start_control(&mut config, parts).await?;
     let fleet = handles.fleet.clone();
     let _ = reload_handles.set(handles);
     let Config { routes, known_workers, .. } = config;
@@ -303,6 +324,13 @@
     let socket = listeners::socket::open(origin).await?;
     let siblings = calls.as_ref().and_then(|calls| calls.siblings.clone());
     if shared {
+        let unknown_sibling = lifecycle.clone();
+        let may_have_sibling = Box::new(move || unknown_sibling.may_have_sibling());
+        tubes.set_forwarder(Box::new(SiblingAnswers::new(
+            siblings.clone(),
+            may_have_sibling,
+            memory.clone(),
+        )));
         let (lifecycle, siblings) = (lifecycle.clone(), siblings.clone());
         let may_have_sibling =
             move || lifecycle.may_have_sibling() || siblings.as_ref().is_some_and(|s| s.knows_any());
--- a/dispatcher/src/memory.rs
+++ b/dispatcher/src/memory.rs
@@ -238,7 +238,7 @@
 }
 
 /// Ties leases to the contents that they are for. They are returned when the last copy is dropped.
-pub fn with_leases(contents: String, leases: Arc<Vec<MemoryLease>>) -> Bytes {
+pub fn with_leases(contents: impl AsRef<[u8]> + Send + 'static, leases: Arc<Vec<MemoryLease>>) -> Bytes {
     Bytes::from_owner(Leased { contents, _leases: leases })
 }
 
--- a/dispatcher/src/memory/tests.rs
+++ b/dispatcher/src/memory/tests.rs
@@ -76,7 +76,7 @@
     assert_eq!(&part[..], b"nt");
     drop(part);
     let lease = memory.try_lease(bulk, Purpose::Bulk).expect("it was returned");
-    let result = with_leases("result".into(), Arc::new(vec![lease]));
+    let result = with_leases("result", Arc::new(vec![lease]));
     let copy = result.clone();
     drop(result);
     assert!(memory.try_lease(1, Purpose::Bulk).is_none());
--- a/dispatcher/src/siblings/mod.rs
+++ b/dispatcher/src/siblings/mod.rs
@@ -7,6 +7,7 @@
 //! and no other process answers on its behalf. What must be unique over all processes, the references of open requests, is decided
 //! by the kernel without a call ([`reference_locks`]).
 
+pub mod answers;
 mod client;
 pub mod protocol;
 pub mod reference_locks;
@@ -15,6 +16,7 @@
 use crate::memory::{MemoryBudget, Purpose};
 use crate::overrides::Overrides;
 use crate::targets::http::{HttpTargets, JobUpdate};
+use crate::targets::shared_tubes::{Ownership, SharedTubes};
 use client::{call, CallError};
 use futures_util::future::join_all;
 use lineroute_control::overrides::{log_line, LogReader, Record};
@@ -41,14 +43,15 @@
 /// Reply to a call that is intended for another process.
 const WRONG_TOKEN: &str = "this is not the process that is meant";
 
-/// Result of forwarding a job status update that this process has no job for.
+/// Result of forwarding a job status update or an answer that this process has no job for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
-    /// A sibling has the job and accepted the update.
+    /// A sibling has the job and accepted it.
     Accepted,
     /// No process has the job: it is over, or never existed.
     Unknown,
-    /// A sibling that may have the job can't be reached now, so the worker has to send the update again.
+    /// A sibling that may have the job can't be reached now, so the worker has to send the update again, or the answer stays where
+    /// it is.
     Unavailable,
 }
 
@@ -147,16 +150,25 @@
 
     /// Forwards a worker's update to the process that has the job.
     pub async fn forward_update(&self, update: &JobUpdate) -> Delivery {
+        let (reference, state) = (&*update.id, &*update.state);
+        let request = || Request::JobUpdate(update.clone());
+        self.offer(request, |sibling, error| {
+            info!(sibling, reference, state, %error, "siblings: can't forward a job status update; refusing it");
+        })
+        .await
+    }
+
+    /// Offers what belongs to one process to all others. `failed` is told which of them can't be asked, and why.
+    async fn offer(&self, request: impl Fn() -> Request, failed: impl Fn(u32, &CallError)) -> Delivery {
         let Ok(others) = self.others() else { return Delivery::Unavailable };
-        let calls = others.iter().map(|other| self.call_sibling(other, Request::JobUpdate(update.clone())));
+        let calls = others.iter().map(|other| self.call_sibling(other, request()));
         let mut delivery = Delivery::Unknown;
         for (other, answer) in others.iter().zip(join_all(calls).await) {
             match answer {
                 Ok(Answer::Taken) => return Delivery::Accepted,
                 Ok(_) | Err(CallError::Exited) => {}
                 Err(e) => {
-                    let (reference, state) = (&*update.id, &*update.state);
-                    info!(sibling = other.process, reference, state, error = %e, "siblings: can't forward a job status update; refusing it");
+                    failed(other.process, &e);
                     delivery = Delivery::Unavailable;
                 }
             }
@@ -219,6 +231,15 @@
                 true => Answer::Taken,
                 false => Answer::NotOurs,
             },
+            Request::TubeAnswer(answer) => {
+                let lease =
+                    process.memory.try_lease(answer.encoded_len(), Purpose::Worker).ok_or("no memory")?;
+                match process.tubes.accept(&answer, lease) {
+                    Ownership::Accepted => Answer::Taken,
+                    Ownership::NotOurs => Answer::NotOurs,
+                    Ownership::Undecided => return Err("a job is being stored".into()),
+                }
+            }
             Request::State if self.is_stopping.get() => Answer::State(State::Stopping),
             Request::State if process.is_up => Answer::State(State::Serving),
             Request::State => Answer::State(State::Starting),
@@ -232,6 +253,8 @@
     pub overrides: &'a Overrides,
     /// The HTTP targets, with the attempts in progress.
     pub targets: &'a HttpTargets,
+    /// The targets that read answers tubes.
+    pub tubes: &'a SharedTubes,
     /// Memory for results.
     pub memory: &'a MemoryBudget,
     /// Whether it is ready to serve clients.
--- a/dispatcher/src/siblings/protocol.rs
+++ b/dispatcher/src/siblings/protocol.rs
@@ -2,13 +2,15 @@
 //! [`PREFIX`] and a JSON object; the reply is `OK` and a JSON object, or `ERR` and a reason.
 
 use crate::targets::http::JobUpdate;
+use crate::targets::shared_tubes::TubeAnswer;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Prefix of a call from a sibling.
 pub const PREFIX: &str = "sibling ";
-/// Maximum size of a call: a job status update with the largest body, and the JSON around it.
-pub const MAX_CALL: usize = (64 << 10) + 1024;
+/// Maximum size of a call: an answer of the largest size in base64, or a job status update with the largest body, and the JSON
+/// around it.
+pub const MAX_CALL: usize = 88 << 10;
 /// Maximum size of a reply: all overrides of a full table.
 pub const MAX_ANSWER: usize = 4 << 20;
 
@@ -41,6 +43,8 @@
     Overrides(Vec<String>),
     /// A worker's update for a job that the caller does not have.
     JobUpdate(JobUpdate),
+    /// An answer to a job that the caller does not have. It stays in its tube unless it is taken.
+    TubeAnswer(TubeAnswer),
     /// Asks for the state of the process.
     State,
 }
@@ -53,7 +57,7 @@
     Overrides(Vec<String>),
     /// The overrides were merged and are in force in the process.
     Merged,
-    /// The process has the job and accepted the update.
+    /// The process has the job and accepted the update or answer.
     Taken,
     /// The process does not have the job.
     NotOurs,
--- a/dispatcher/src/targets/beanstalkd.rs
+++ b/dispatcher/src/targets/beanstalkd.rs
@@ -1,5 +1,6 @@
 //! Workers that take their jobs from their own beanstalkd server. A forward is a job in the server's work tube;
-//! its result comes back through an answers tube that belongs to this dispatcher alone.
+//! its result comes back through an answers tube that belongs to this dispatcher alone. While the process is replaced, both processes
+//! read it ([`super::shared_tubes`]).
 //!
 //! The first line of a job names the answers tube, the client's reference and the percent-encoded idempotency key
 //! (`-`: none); the body follows. The first line of an answer names the job's id and its status: `started`, `served`,
@@ -14,6 +15,8 @@
 use crate::flow::{AttemptMessage, Flows, Forward, ForwardId, Target};
 use crate::local_faults::{is_local, LOCAL_FAULT_RETRY_DELAY};
 use crate::memory::{MemoryBudget, Purpose};
+use crate::siblings::Delivery;
+use crate::targets::shared_tubes::{Ownership, SharedTubes};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use lineroute_permit::RetryPermit;
@@ -27,7 +30,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 use tracing::warn;
 
 /// Time limit for the answer to a command that does not block.
@@ -36,8 +39,9 @@
 const RESERVE_WAIT: Duration = Duration::from_secs(5);
 /// Added to the deadline for the time-to-run of a job, so that the server does not hand it out a second time.
 const TTR_MARGIN: Duration = Duration::from_secs(60);
-/// Limit on the answers that are kept before the id of their job is known.
-const MAX_EARLY_ANSWERS: usize = 256;
+/// Priority and delay, in seconds, of an answer that is put back into its tube since its owner can't be asked now.
+const RELEASE_PRIORITY: u32 = 1024;
+const RELEASE_DELAY_SECONDS: u32 = 1;
 /// Minimum and maximum delay between attempts to reach a server that holds jobs of this dispatcher.
 const RECONNECT_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
@@ -138,9 +142,11 @@
     commands: mpsc::UnboundedSender<Command>,
     /// Jobs on the server, by the ids that it assigned.
     in_flight: RefCell<FxHashMap<u64, ForwardId>>,
-    /// Puts in progress, and answers to jobs whose ids are not known yet.
+    /// Puts that are queued or in progress.
     pending_puts: Cell<usize>,
-    early_answers: RefCell<Vec<(u64, Bytes)>>,
+    /// A job is being stored whose id is not known yet, so that an answer to it can't be told from others.
+    is_storing: Cell<bool>,
+    stored: Notify,
     is_reading_answers: Cell<bool>,
 }
 
@@ -149,6 +155,12 @@
         self.in_flight.borrow().iter().find(|(_, t)| **t == forward_id).map(|(id, _)| *id)
     }
 
+    /// The id of the job that was being stored is known by now, or never will be.
+    fn end_storing(&self) {
+        self.is_storing.set(false);
+        self.stored.notify_waiters();
+    }
+
     fn expects_answers(&self) -> bool {
         self.pending_puts.get() > 0 || !self.in_flight.borrow().is_empty()
     }
@@ -163,6 +175,7 @@
     connect_timeout: Duration,
     memory: Rc<MemoryBudget>,
     servers: Rc<RefCell<FxHashMap<TargetId, Rc<Server>>>>,
+    tubes: SharedTubes,
 }
 
 impl BeanstalkdTargets {
@@ -173,6 +186,7 @@
         name: &str,
         connect_timeout: Duration,
         memory: Rc<MemoryBudget>,
+        tubes: SharedTubes,
     ) -> Self {
         BeanstalkdTargets {
             flows,
@@ -181,6 +195,7 @@
             connect_timeout,
             memory,
             servers: Rc::default(),
+            tubes,
         }
     }
 
@@ -196,7 +211,8 @@
             commands,
             in_flight: RefCell::default(),
             pending_puts: Cell::new(0),
-            early_answers: RefCell::default(),
+            is_storing: Cell::new(false),
+            stored: Notify::new(),
             is_reading_answers: Cell::new(false),
         });
         servers.insert(target, server.clone());
@@ -215,9 +231,7 @@
                 Command::Put(forward) => {
                     let broken = self.put(&server, &mut connection, &forward).await;
                     server.pending_puts.set(server.pending_puts.get() - 1);
-                    if server.pending_puts.get() == 0 {
-                        server.early_answers.borrow_mut().clear();
-                    }
+                    server.end_storing();
                     broken
                 }
                 Command::Withdraw(forward_id, reason) => {
@@ -302,6 +316,7 @@
         request.extend_from_slice(&body);
         request.extend_from_slice(b"\r\n");
         self.flows.first_byte_written(forward, None);
+        server.is_storing.set(true);
         let reply = match open.request(&request, time_left.min(COMMAND_TIMEOUT)).await {
             Ok(reply) => reply,
             Err(_) => {
@@ -314,13 +329,9 @@
         match (status, id.parse::<u64>()) {
             ("INSERTED", Ok(id)) => {
                 server.in_flight.borrow_mut().insert(id, forward_id);
+                server.end_storing();
                 self.ensure_reading_answers(server);
-                let early_answers = std::mem::take(&mut *server.early_answers.borrow_mut());
-                let (own, other_jobs): (Vec<_>, Vec<_>) =
-                    early_answers.into_iter().partition(|(of, _)| *of == id);
-                *server.early_answers.borrow_mut() = other_jobs;
-                own.iter().for_each(|(_, body)| self.handle_answer(server, body));
-                if own.is_empty() && !self.flows.is_still_valid(forward) {
+                if !self.flows.is_still_valid(forward) {
                     return self.withdraw(server, connection, forward_id, WithdrawReason::Draining).await;
                 }
                 false
@@ -375,20 +386,52 @@
         withdrawn.is_err()
     }
 
-    /// Handles an answer of a worker.
-    fn handle_answer(&self, server: &Server, body: &Bytes) {
+    /// Gives an answer to the process that has its job. Returns whether it can be deleted: its owner has it, or nobody can have the
+    /// job.
+    async fn deliver(&self, server: &Server, body: &Bytes) -> bool {
+        let ownership = match self.handle_answer(server, body) {
+            // Ends within the time limit of the command that stores the job.
+            Ownership::Undecided => {
+                server.stored.notified().await;
+                self.handle_answer(server, body)
+            }
+            decided => decided,
+        };
+        match ownership {
+            Ownership::Accepted => true,
+            // Another job is being stored already, so the answer is not to the one that was awaited.
+            Ownership::NotOurs | Ownership::Undecided => {
+                self.tubes.forward(server.addr, body).await != Delivery::Unavailable
+            }
+        }
+    }
+
+    /// Handles an answer that another process has reserved at this server.
+    pub fn accept(&self, addr: SocketAddr, body: &Bytes) -> Ownership {
+        let servers: Vec<Rc<Server>> =
+            self.servers.borrow().values().filter(|server| server.addr == addr).cloned().collect();
+        let ownerships = servers.iter().map(|server| self.handle_answer(server, body));
+        ownerships.reduce(Ownership::or).unwrap_or(Ownership::NotOurs)
+    }
+
+    /// Handles an answer of a worker, if this process has the job. A malformed one counts as accepted.
+    fn handle_answer(&self, server: &Server, body: &Bytes) -> Ownership {
         let Some((id, word, result)) = decode_answer(body) else {
             warn!(server = %server.addr, "beanstalkd server: malformed job in the answers tube");
-            return;
+            return Ownership::Accepted;
         };
         let forward_id = server.in_flight.borrow().get(&id).copied();
         let Some(forward_id) = forward_id else {
-            let mut early_answers = server.early_answers.borrow_mut();
-            if server.pending_puts.get() > 0 && early_answers.len() < MAX_EARLY_ANSWERS {
-                early_answers.push((id, body.clone()));
-            }
-            return;
+            return match server.is_storing.get() {
+                true => Ownership::Undecided,
+                false => Ownership::NotOurs,
+            };
         };
+        self.apply_answer(server, (id, forward_id), word, result);
+        Ownership::Accepted
+    }
+
+    fn apply_answer(&self, server: &Server, (id, forward_id): (u64, ForwardId), word: &str, result: Bytes) {
         let outcome = match word {
             "started" => return self.flows.job_started(forward_id),
             "served" => Outcome::Served,
@@ -448,6 +491,11 @@
                 false => drop(connection.reply_body(&reply).await?),
             }
         }
+        // A sibling may have reserved their answers, and passes them on.
+        let missing_until = match self.tubes.may_have_others() {
+            true => Instant::now() + RESERVE_WAIT,
+            false => Instant::now(),
+        };
         let mut time_limit = Duration::ZERO;
         *backoff = RECONNECT_BACKOFF.0;
         while server.expects_answers() {
@@ -455,14 +503,23 @@
             let reply = connection.request(request.as_bytes(), time_limit + COMMAND_TIMEOUT).await?;
             if let Some(id) = reply.strip_prefix("RESERVED ").and_then(|r| r.split(' ').next()) {
                 let body = connection.reply_body(&reply).await?;
-                self.handle_answer(server, &body);
-                connection.request_expecting(&format!("delete {id}\r\n"), &["DELETED", "NOT_FOUND"]).await?;
+                // Until it is deleted or released the server keeps it for this connection, and takes it back if that ends.
+                let command = match self.deliver(server, &body).await {
+                    true => format!("delete {id}\r\n"),
+                    false => format!("release {id} {RELEASE_PRIORITY} {RELEASE_DELAY_SECONDS}\r\n"),
+                };
+                connection
+                    .request_expecting(&command, &["DELETED", "RELEASED", "BURIED", "NOT_FOUND"])
+                    .await?;
                 continue;
             }
             if reply != "TIMED_OUT" && reply != "DEADLINE_SOON" {
                 return Err(io::Error::new(io::ErrorKind::InvalidData, reply));
             }
             time_limit = RESERVE_WAIT;
+            if Instant::now() < missing_until {
+                continue;
+            }
             for (id, forward_id) in missing.drain(..) {
                 if server.in_flight.borrow_mut().remove(&id).is_some() {
                     self.flows.forward_ended(forward_id, Outcome::Cut, None);
--- a/dispatcher/src/targets/mod.rs
+++ b/dispatcher/src/targets/mod.rs
@@ -7,4 +7,5 @@
 mod health_check;
 pub mod http;
 pub mod load;
+pub mod shared_tubes;
 pub mod upstream;
--- a/dispatcher/tests/common/beanstalkd.rs
+++ b/dispatcher/tests/common/beanstalkd.rs
@@ -1,7 +1,7 @@
 //! A beanstalkd server with the commands that a worker's queue needs. The test acts as the worker: it reserves jobs and reports
 //! results directly in the server's state.
 
-use super::WAIT_TIMEOUT;
+use super::{wait_until, WAIT_TIMEOUT};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -13,8 +13,18 @@
 struct Job {
     tube: String,
     body: String,
-    reserved: bool,
+    reserved_by: Option<Reserver>,
     reserves: u32,
+    /// It is delayed until then.
+    ready_at: Instant,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reserver {
+    /// The test, as the worker.
+    Worker,
+    /// A connection, by the order in which they were accepted.
+    Connection(usize),
 }
 
 #[derive(Default)]
@@ -26,6 +36,11 @@
     /// How often all connections have been closed; a connection accepted before the last time receives no more jobs.
     disconnects: u32,
     connections: Vec<TcpStream>,
+    accepted: usize,
+    /// Connections that wait for answers, in the order in which they began to.
+    readers: Vec<usize>,
+    /// If set, only this reader receives jobs.
+    only_reader: Option<usize>,
 }
 
 #[derive(Default)]
@@ -63,9 +78,13 @@
                 let shared = copy.clone();
                 let mut state = shared.lock();
                 state.connections.push(stream.try_clone().expect("a socket"));
-                let disconnects_at_accept = state.disconnects;
+                state.accepted += 1;
+                let (connection, disconnects_at_accept) = (state.accepted, state.disconnects);
                 drop(state);
-                thread::spawn(move || serve(&shared, stream, disconnects_at_accept));
+                thread::spawn(move || {
+                    serve(&shared, stream, connection, disconnects_at_accept);
+                    shared.return_jobs(connection);
+                });
             }
         });
         Server { addr, shared }
@@ -73,7 +92,8 @@
 
     /// Reserves the next ready job.
     pub fn reserve_job(&self) -> ReservedJob {
-        let (id, body) = self.shared.reserve(&["work".into()], WAIT_TIMEOUT, None).expect("a job comes");
+        let (id, body) =
+            self.shared.reserve(&["work".into()], WAIT_TIMEOUT, Reserver::Worker, None).expect("a job comes");
         let (head, body) = body.split_once('\n').expect("a first line");
         let words: Vec<&str> = head.split(' ').collect();
         let [answers, reference, key] = words[..] else { panic!("{head}") };
@@ -107,6 +127,29 @@
         assert!(!waited.timed_out(), "the work tube does not reach {count} jobs");
     }
 
+    /// Waits until this many connections have begun to wait for answers.
+    pub fn wait_for_readers(&self, count: usize) {
+        wait_until("processes wait for answers", || self.shared.lock().readers.len() >= count);
+    }
+
+    /// From now on only this reader receives answers, counted from 0 in the order in which they began; `None` for all.
+    pub fn serve_only_reader(&self, number: Option<usize>) {
+        let mut state = self.shared.lock();
+        state.only_reader = number.map(|number| state.readers[number]);
+        self.shared.changed.notify_all();
+    }
+
+    /// Whether a reader has reserved an answer.
+    pub fn has_reserved_answer(&self) -> bool {
+        let is_reserved = |job: &Job| matches!(job.reserved_by, Some(Reserver::Connection(_)));
+        self.shared.lock().jobs.values().any(is_reserved)
+    }
+
+    /// Number of answers that have not been deleted.
+    pub fn answer_count(&self) -> usize {
+        self.shared.lock().jobs.values().filter(|job| job.tube != "work").count()
+    }
+
     pub fn delay_put_replies(&self) {
         self.shared.lock().delays_puts = true;
     }
@@ -137,7 +180,8 @@
 impl State {
     fn insert(&mut self, tube: &str, body: String) -> u64 {
         self.last += 1;
-        self.jobs.insert(self.last, Job { tube: tube.into(), body, reserved: false, reserves: 0 });
+        let job = Job { tube: tube.into(), body, reserved_by: None, reserves: 0, ready_at: Instant::now() };
+        self.jobs.insert(self.last, job);
         self.last
     }
 }
@@ -147,26 +191,58 @@
         self.state.lock().expect("a lock")
     }
 
+    /// Waits for a job. A connection that was accepted before the last time that all were closed gets none.
     fn reserve(
         &self,
         tubes: &[String],
         within: Duration,
+        reserver: Reserver,
         disconnects_at_accept: Option<u32>,
     ) -> Option<(u64, String)> {
-        let lives = |s: &State| disconnects_at_accept.is_none_or(|b| b == s.disconnects);
-        let none =
-            |s: &mut State| lives(s) && !s.jobs.values().any(|j| !j.reserved && tubes.contains(&j.tube));
-        let (mut state, _) = self.changed.wait_timeout_while(self.lock(), within, none).expect("a lock");
-        if !lives(&state) {
-            return None;
+        let until = Instant::now() + within;
+        let mut state = self.lock();
+        loop {
+            let now = Instant::now();
+            if disconnects_at_accept.is_some_and(|before| before != state.disconnects) {
+                return None;
+            }
+            let excluded = |only| reserver != Reserver::Worker && reserver != Reserver::Connection(only);
+            let is_excluded = state.only_reader.is_some_and(excluded);
+            let is_ready = |job: &Job| {
+                job.reserved_by.is_none() && job.ready_at <= now && tubes.contains(&job.tube) && !is_excluded
+            };
+            if let Some((id, job)) = state.jobs.iter_mut().find(|(_, job)| is_ready(job)) {
+                (job.reserved_by, job.reserves) = (Some(reserver), job.reserves + 1);
+                return Some((*id, job.body.clone()));
+            }
+            if now >= until {
+                return None;
+            }
+            // Delayed jobs become ready without a notification.
+            let wait = (until - now).min(Duration::from_millis(20));
+            state = self.changed.wait_timeout(state, wait).expect("a lock").0;
+        }
+    }
+
+    /// Records a connection that waits for answers for some time.
+    fn add_reader(&self, connection: usize, within: Duration) {
+        let mut state = self.lock();
+        if !within.is_zero() && !state.readers.contains(&connection) {
+            state.readers.push(connection);
         }
-        let (id, job) = state.jobs.iter_mut().find(|(_, j)| !j.reserved && tubes.contains(&j.tube))?;
-        (job.reserved, job.reserves) = (true, job.reserves + 1);
-        Some((*id, job.body.clone()))
+    }
+
+    /// What a connection that ends has reserved becomes ready.
+    fn return_jobs(&self, connection: usize) {
+        let own = Some(Reserver::Connection(connection));
+        for job in self.lock().jobs.values_mut().filter(|job| job.reserved_by == own) {
+            job.reserved_by = None;
+        }
+        self.changed.notify_all();
     }
 }
 
-fn serve(shared: &Shared, stream: TcpStream, disconnects_at_accept: u32) {
+fn serve(shared: &Shared, stream: TcpStream, connection: usize, disconnects_at_accept: u32) {
     let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
     let (mut stream, mut used, mut watched) =
         (stream, String::from("default"), vec![String::from("default")]);
@@ -200,7 +276,10 @@
                 format!("INSERTED {id}")
             }
             "reserve-with-timeout" => {
-                match shared.reserve(&watched, Duration::from_secs(number(1)), Some(disconnects_at_accept)) {
+                let within = Duration::from_secs(number(1));
+                let reserver = Reserver::Connection(connection);
+                shared.add_reader(connection, within);
+                match shared.reserve(&watched, within, reserver, Some(disconnects_at_accept)) {
                     Some((id, body)) => format!("RESERVED {id} {}\r\n{body}", body.len()),
                     None => "TIMED_OUT".into(),
                 }
@@ -209,14 +288,25 @@
                 let mut state = shared.lock();
                 // A job reserved by another connection is not found.
                 let answer = watched.len() == 1 && watched[0] != "default";
-                let free = state.jobs.get(&number(1)).is_some_and(|j| answer || !j.reserved);
+                let free = state.jobs.get(&number(1)).is_some_and(|j| answer || j.reserved_by.is_none());
                 let deleted = free && state.jobs.remove(&number(1)).is_some();
                 shared.changed.notify_all();
                 String::from(if deleted { "DELETED" } else { "NOT_FOUND" })
             }
+            "release" => {
+                let mut state = shared.lock();
+                let job = state.jobs.get_mut(&number(1));
+                let own = job.filter(|job| job.reserved_by == Some(Reserver::Connection(connection)));
+                let released = own.map(|job| {
+                    job.reserved_by = None;
+                    job.ready_at = Instant::now() + Duration::from_secs(number(3));
+                });
+                shared.changed.notify_all();
+                String::from(if released.is_some() { "RELEASED" } else { "NOT_FOUND" })
+            }
             "stats-job" => match shared.lock().jobs.get(&number(1)) {
                 Some(job) => {
-                    let state = if job.reserved { "reserved" } else { "ready" };
+                    let state = if job.reserved_by.is_some() { "reserved" } else { "ready" };
                     let text = format!("---\nstate: {state}\nreserves: {}\n", job.reserves);
                     format!("OK {}\r\n{text}", text.len())
                 }
--- a/dispatcher/tests/common/replacement.rs
+++ b/dispatcher/tests/common/replacement.rs
@@ -191,9 +191,21 @@
     }
 
     pub fn with_settings(workers: usize, conduct: WorkerBehaviour, settings: &str) -> Dispatcher {
-        static NEXT: AtomicU32 = AtomicU32::new(0);
         let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
         let workers = Workers::start(workers, conduct, socket.local_addr().expect("an address"));
+        Dispatcher::with_workers(socket, workers, settings)
+    }
+
+    /// A dispatcher whose workers, named by the test, are something else than platform workers.
+    pub fn with_listed(listed: Vec<(String, SocketAddr)>, settings: &str) -> Dispatcher {
+        let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut workers = Workers::start(0, WorkerBehaviour::Hangs, socket.local_addr().expect("an address"));
+        workers.listed = listed;
+        Dispatcher::with_workers(socket, workers, settings)
+    }
+
+    fn with_workers(socket: TcpListener, workers: Workers, settings: &str) -> Dispatcher {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
         let entries: Vec<String> =
             workers.listed.iter().map(|(id, addr)| entry(id, *addr, "up", 0)).collect();
         Dispatcher {
@@ -253,6 +265,37 @@
     }
 }
 
+/// Two processes of a dispatcher, and a connection to each.
+pub struct Pair {
+    pub dispatcher: Dispatcher,
+    pub old: Process,
+    pub new: Process,
+    pub to_old: Client,
+    pub to_new: Client,
+}
+
+impl Pair {
+    /// Starts both, and waits until each serves.
+    pub fn start(dispatcher: Dispatcher, operator: &'static str) -> Pair {
+        let start = || {
+            let process = dispatcher.start_with(Setup { operator: Some(operator), ..Setup::default() });
+            process.wait_until_ready();
+            process
+        };
+        let old = start();
+        let mut to_old = Client::new(dispatcher.addr());
+        to_old.wait_until_up();
+        let new = start();
+        // Only the new process can accept this connection.
+        old.rig.pause();
+        old.rig.wait_until_paused();
+        let mut to_new = Client::new(dispatcher.addr());
+        to_new.wait_until_up();
+        old.rig.resume();
+        Pair { dispatcher, old, new, to_old, to_new }
+    }
+}
+
 impl Drop for Dispatcher {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.temp_dir);
--- a/dispatcher/tests/request_ids.rs
+++ b/dispatcher/tests/request_ids.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::replacement::{Dispatcher, Process, WorkerBehaviour, Workers};
-use common::{wait_until, Client, Setup, SETTINGS};
+use common::replacement::{Dispatcher, Pair, WorkerBehaviour, Workers};
+use common::{wait_until, Client, SETTINGS};
 use rstest::rstest;
 use std::thread;
 
@@ -13,36 +13,9 @@
     "routes":[{"path":"/web","match":"prefix","class":"page"}]}"#;
 const SECOND_ROUTE: &str = r#"{"routes":[{"path":"/more","class":"order"}]}"#;
 
-/// Two processes of a dispatcher, and a connection to each.
-struct Pair {
-    dispatcher: Dispatcher,
-    old: Process,
-    new: Process,
-    to_old: Client,
-    to_new: Client,
-}
-
-impl Pair {
-    fn start(behaviour: WorkerBehaviour, operator: &'static str) -> Pair {
-        let settings = SETTINGS.replace(r#", "tells_start": true"#, "");
-        let dispatcher = Dispatcher::with_settings(2, behaviour, &settings);
-        let start = || {
-            let process = dispatcher.start_with(Setup { operator: Some(operator), ..Setup::default() });
-            process.wait_until_ready();
-            process
-        };
-        let old = start();
-        let mut to_old = Client::new(dispatcher.addr());
-        to_old.wait_until_up();
-        let new = start();
-        // Only the new process can accept this connection.
-        old.rig.pause();
-        old.rig.wait_until_paused();
-        let mut to_new = Client::new(dispatcher.addr());
-        to_new.wait_until_up();
-        old.rig.resume();
-        Pair { dispatcher, old, new, to_old, to_new }
-    }
+fn start(behaviour: WorkerBehaviour, operator: &'static str) -> Pair {
+    let settings = SETTINGS.replace(r#", "tells_start": true"#, "");
+    Pair::start(Dispatcher::with_settings(2, behaviour, &settings), operator)
 }
 
 fn post(client: &mut Client, path: &str, reference: &str) {
@@ -92,7 +65,7 @@
     front: (&str, &'static str, WorkerBehaviour),
 ) {
     let (path, operator, behaviour) = front;
-    let mut pair = Pair::start(behaviour, operator);
+    let mut pair = start(behaviour, operator);
     let held_at = if path == "/web/a" { path } else { "/api" };
     post(&mut pair.to_old, held_at, "twice");
     wait_for_attempts(&pair.dispatcher.workers, "twice", 1);
@@ -121,7 +94,7 @@
 /// The same with the roles exchanged: the old process has no privilege.
 #[test]
 fn an_id_that_is_open_in_the_new_process_is_refused_by_the_old_one() {
-    let mut pair = Pair::start(WorkerBehaviour::Hangs, SECOND_ROUTE);
+    let mut pair = start(WorkerBehaviour::Hangs, SECOND_ROUTE);
     post(&mut pair.to_new, "/api", "twice");
     wait_for_attempts(&pair.dispatcher.workers, "twice", 1);
     post(&mut pair.to_old, "/api", "twice");
@@ -135,7 +108,7 @@
     #[values(REPEATABLE, BY_KEY, ONCE)] first: &str,
     #[values(REPEATABLE, BY_KEY, ONCE)] second: &str,
 ) {
-    let mut pair = Pair::start(WorkerBehaviour::Hangs, SECOND_ROUTE);
+    let mut pair = start(WorkerBehaviour::Hangs, SECOND_ROUTE);
     post_with(&mut pair.to_old, first, "twice", 7000);
     wait_for_attempts(&pair.dispatcher.workers, "twice", 1);
     post_with(&mut pair.to_new, second, "twice", 7000);
@@ -173,7 +146,7 @@
     end: FirstEnds,
 ) {
     let behaviour = if end == FirstEnds::Refused { WorkerBehaviour::Rejects } else { WorkerBehaviour::Hangs };
-    let mut pair = Pair::start(behaviour, SECOND_ROUTE);
+    let mut pair = start(behaviour, SECOND_ROUTE);
     post_with(&mut pair.to_old, ONCE, "again", if end == FirstEnds::TimedOut { 700 } else { 7000 });
     wait_for_attempts(&pair.dispatcher.workers, "again", 1);
     match end {
@@ -214,7 +187,7 @@
 #[test]
 fn of_two_requests_with_one_id_at_the_same_time_one_is_accepted() {
     const ROUNDS: usize = 40;
-    let pair = Pair::start(WorkerBehaviour::Serves, SECOND_ROUTE);
+    let pair = start(WorkerBehaviour::Serves, SECOND_ROUTE);
     let Pair { dispatcher, old: _old, new: _new, to_old, to_new } = pair;
     dispatcher.workers.set_behaviour(WorkerBehaviour::Hangs);
     let both = std::sync::Arc::new(std::sync::Barrier::new(2));
@@ -262,7 +235,7 @@
 fn generated_references_are_unique_over_both_processes() {
     let operator = r#"{"beanstalkd":{"listen":"127.0.0.1:0","tubes":[{"tube":"in","class":"order","answers":"out"}]},
         "routes":[{"path":"/more","class":"order"}]}"#;
-    let mut pair = Pair::start(WorkerBehaviour::Hangs, operator);
+    let mut pair = start(WorkerBehaviour::Hangs, operator);
     let mut producer = Client::new(pair.old.rig.beanstalkd_addr.expect("it is configured"));
     assert_eq!(producer.command("use in"), "USING in");
     assert!(producer.command("put 0 0 60 4\r\nwork").starts_with("INSERTED"));
