Answers from a shared tube: a sibling that is storing a job does not hold up others

Where a sibling was storing a job, an answer that nobody had counted as a call that failed, and no answer was passed on for 1 s. It is told apart now.

--- a/dispatcher/src/siblings/answers.rs
+++ b/dispatcher/src/siblings/answers.rs
@@ -54,14 +54,12 @@
         };
         let server = answer.server;
         let request = || Request::TubeAnswer(answer.clone());
-        let delivery = siblings
+        siblings
             .offer(request, |sibling, error| {
                 info!(sibling, %server, %error, "siblings: can't forward an answer; it stays in its tube");
+                self.unavailable_since.set(Some(Instant::now()));
             })
-            .await;
-        let is_unavailable = delivery == Delivery::Unavailable;
-        self.unavailable_since.set(is_unavailable.then(Instant::now));
-        delivery
+            .await
     }
 }
 
--- a/dispatcher/src/siblings/mod.rs
+++ b/dispatcher/src/siblings/mod.rs
@@ -166,6 +166,7 @@
         for (other, answer) in others.iter().zip(join_all(calls).await) {
             match answer {
                 Ok(Answer::Taken) => return Delivery::Accepted,
+                Ok(Answer::Undecided) => delivery = Delivery::Unavailable,
                 Ok(_) | Err(CallError::Exited) => {}
                 Err(e) => {
                     failed(other.process, &e);
@@ -237,7 +238,7 @@
                 match process.tubes.accept(&answer, lease) {
                     Ownership::Accepted => Answer::Taken,
                     Ownership::NotOurs => Answer::NotOurs,
-                    Ownership::Undecided => return Err("a job is being stored".into()),
+                    Ownership::Undecided => Answer::Undecided,
                 }
             }
             Request::State if self.is_stopping.get() => Answer::State(State::Stopping),
--- a/dispatcher/src/siblings/protocol.rs
+++ b/dispatcher/src/siblings/protocol.rs
@@ -61,6 +61,8 @@
     Taken,
     /// The process does not have the job.
     NotOurs,
+    /// The process is storing a job whose id it does not know yet; it may be the one.
+    Undecided,
     /// The state of the process.
     State(State),
 }
