--- a/dispatcher/src/listeners/connection_slots.rs
+++ b/dispatcher/src/listeners/connection_slots.rs
@@ -105,6 +105,7 @@
 }
 
 impl ConnectionSlot {
+    /// The current stage.
     pub fn stage(&self) -> Stage {
         self.stage.get()
     }
--- a/dispatcher/src/listeners/http.rs
+++ b/dispatcher/src/listeners/http.rs
@@ -624,10 +624,12 @@
     response
 }
 
+/// A refusal with 503 after which a retry makes sense once this time has passed.
 pub(super) fn unavailable(after: Duration) -> Response<Bytes> {
     respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not now\n"), Some(after))
 }
 
+/// A response with this status and text.
 pub(super) fn text_response(status: StatusCode, message: &'static str) -> Response<Bytes> {
     respond(status, Bytes::from_static(message.as_bytes()), None)
 }
--- a/dispatcher/src/siblings/answers.rs
+++ b/dispatcher/src/siblings/answers.rs
@@ -25,6 +25,7 @@
 }
 
 impl SiblingAnswers {
+    /// The way to `siblings`. `may_have_sibling` says whether one may be running that is not known; calls are leased from `memory`.
     pub fn new(
         siblings: Option<Rc<Siblings>>,
         may_have_sibling: Box<dyn Fn() -> bool>,
--- a/dispatcher/src/targets/shared_tubes.rs
+++ b/dispatcher/src/targets/shared_tubes.rs
@@ -23,6 +23,7 @@
 }
 
 impl TubeAnswer {
+    /// An answer with this body, reserved at this server.
     pub fn new(server: SocketAddr, body: &[u8]) -> TubeAnswer {
         TubeAnswer { server, body: BASE64_STANDARD.encode(body) }
     }
@@ -38,6 +39,7 @@
 pub enum Ownership {
     /// It had, and has accepted the answer.
     Accepted,
+    /// It has no such job and is storing none.
     NotOurs,
     /// It does not know yet: the id of a job that it is storing at the server is not known.
     Undecided,
